--- a/crates/codegen/src/rust.rs
+++ b/crates/codegen/src/rust.rs
@@ -14,12 +14,13 @@
 }
 
 /// JSON Schemas and the modules generated from them.
-const SETTINGS: [(&str, &str); 2] = [
+const SETTINGS: [(&str, &str); 3] = [
     ("schema/settings.json", "crates/settings/src/generated.rs"),
     (
         "schema/configuration.json",
         "crates/config/src/generated.rs",
     ),
+    ("schema/node.json", "crates/settings/src/node/generated.rs"),
 ];
 
 /// Names in a schema that stand for types of the domain.
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -41,6 +41,8 @@
     /// The log shows that another claim won, or that the claim was released
     /// before its executor began.
     LogSettled(AttemptId),
+    /// The endpoint itself answered that it did not run the request.
+    EndpointDeclined,
 }
 
 /// Why a request was refused.
--- /dev/null
+++ b/crates/fleet/src/place.rs
@@ -0,0 +1,66 @@
+//! Choosing an endpoint for one request.
+
+use std::net::SocketAddr;
+
+use lentil_core::{EndpointId, ServiceName, TokenCount, ZoneId};
+
+use crate::FlightId;
+
+/// Part of an engine's memory that forecasts may fill.
+pub(crate) const MEMORY_FILL: f64 = 0.94;
+/// Part of the forecast growth that is held free: outputs end at different
+/// times, so they never all reach their full length together.
+pub(crate) const GROWTH_PART: f64 = 0.6;
+/// Tokens of unread prompt that weigh as much as a full memory.
+pub(crate) const UNREAD_FULL_TOKENS: f64 = 9_000.0;
+/// What a share of failures weighs against a full memory.
+pub(crate) const FAILING_WEIGHT: f64 = 2.0;
+/// What another availability zone weighs against a full memory.
+pub(crate) const FAR_WEIGHT: f64 = 0.04;
+/// Largest random part of a score; it keeps entries with the same figures
+/// from choosing alike.
+pub(crate) const JITTER: f64 = 0.05;
+
+/// What a generation needs of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GenerationNeed {
+    /// Tokens of the prompt, and those made before.
+    pub prompt: TokenCount,
+    /// Tokens that the output is expected to have.
+    pub output: TokenCount,
+}
+
+/// What a request needs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Need {
+    /// The service.
+    pub service: ServiceName,
+    /// What it needs of an engine; `None` at plain services.
+    pub generation: Option<GenerationNeed>,
+    /// The availability zone to prefer; the entry's own if none is given.
+    pub near: Option<ZoneId>,
+    /// A random number, for the jitter.
+    pub draw: u64,
+}
+
+/// A place at an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// The flight that was begun.
+    pub flight: FlightId,
+}
+
+/// What to do with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Placement {
+    /// Send it there.
+    At(Place),
+    /// Endpoints live, but none has room now.
+    Full,
+    /// No endpoint of the service may get work.
+    Nowhere,
+}
--- /dev/null
+++ b/crates/gateway/src/directory.rs
@@ -0,0 +1,63 @@
+//! What the platform's store tells, apart from how it spells it.
+
+use std::collections::BTreeSet;
+
+use lentil_catalog::Catalog;
+use lentil_core::{EndpointId, ZoneId};
+use lentil_fleet::Listing;
+use thiserror::Error;
+
+use crate::LocalFuture;
+
+/// The store gave no answer that can be used.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum DirectoryError {
+    /// It can't be reached, or did not answer in time.
+    #[error("the store does not answer: {0}")]
+    Unreachable(String),
+    /// It refused.
+    #[error("the store refused with status {status}")]
+    Refused {
+        /// The status.
+        status: u16,
+    },
+    /// Its answer can't be read.
+    #[error("the store's answer can't be read: {0}")]
+    Malformed(String),
+}
+
+/// What operators ordered, as far as it changed.
+#[derive(Debug, Default)]
+pub struct Orders {
+    /// A version that was read.
+    pub catalog: Option<Catalog>,
+    /// All availability zones that are out, if any of them changed.
+    pub zones_out: Option<BTreeSet<ZoneId>>,
+}
+
+/// Entries of endpoints, as far as they changed.
+#[derive(Debug, Default)]
+pub struct EndpointChanges {
+    /// Entries that are there.
+    pub listed: Vec<Listing>,
+    /// Entries that are gone.
+    pub unlisted: Vec<EndpointId>,
+    /// Whether `listed` holds all entries there are.
+    pub whole: bool,
+}
+
+/// Changes of one kind.
+#[derive(Debug)]
+pub enum Changes {
+    /// What operators ordered.
+    Orders(Orders),
+    /// Entries of endpoints.
+    Endpoints(EndpointChanges),
+}
+
+/// Follows one part of the store.
+pub trait Directory {
+    /// Everything that changed since the last answer; the store may hold its
+    /// answer back for a while if nothing did.
+    fn changes(&mut self) -> LocalFuture<'_, Result<Changes, DirectoryError>>;
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,504 @@
+//! One gateway's state, and the way of a request through it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lentil_catalog::{Catalog, InForce, Replaced, Route, RouteKind};
+use lentil_core::{
+    ConfigVersion, NotRunProof, OrganisationId, Outcome, Refusal, RefusalReason, ServiceName,
+    Span, Time, TokenCount, ZoneId,
+};
+use lentil_fleet::{
+    BudgetBounds, Change, Ending, Fleet, FleetBounds, GenerationNeed, Need, Place, Placement,
+    RetryBudget,
+};
+use lentil_shell::BootClock;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::attempt::Job;
+use crate::control::Update;
+use crate::endpoints::Endpoints;
+use crate::line::Line;
+use crate::metrics::Counters;
+use crate::mover;
+use crate::readiness::Readiness;
+use crate::relay;
+use crate::request::{Answer, Inbound};
+use crate::runs::Runs;
+
+/// Longest time a request may take where neither caller nor route states one.
+const PATIENCE_DEFAULT: Span = Span::from_s(30);
+/// Advice to callers when nothing serves their request now.
+pub(crate) const RETRY_SOON: Span = Span::from_ms(700);
+/// Advice to callers when the store can't be reached: another gateway may do.
+const RETRY_ELSEWHERE: Span = Span::from_ms(200);
+/// How long after its last failure the store counts as disturbed: entries that
+/// lapsed meanwhile are back within two seconds of its return.
+const DISTURBED: Span = Span::from_ms(2_500);
+/// Part of the time for taking keys away that what is in force is relied on;
+/// the rest is for requests that are on their way.
+const RELIANCE_PERCENT: u64 = 86;
+/// Time between two looks at what time alone changes.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Bounds that the deployment sets.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GatewayBounds {
+    /// Time after which a key that was taken away works nowhere.
+    pub revoke: Span,
+    /// Bounds of the table of endpoints.
+    pub fleet: FleetBounds,
+    /// The budget of repeats.
+    pub budget: BudgetBounds,
+}
+
+/// What a gateway is made of.
+pub struct GatewayOptions {
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Bounds that the deployment sets.
+    pub bounds: GatewayBounds,
+    /// The clock that all its deadlines are on.
+    pub clock: BootClock,
+    /// How endpoints are spoken with.
+    pub endpoints: Rc<dyn Endpoints>,
+    /// Its counters.
+    pub counters: Counters,
+}
+
+/// One gateway; it belongs to the thread that serves callers.
+pub struct Gateway {
+    bounds: GatewayBounds,
+    clock: BootClock,
+    pub(crate) endpoints: Rc<dyn Endpoints>,
+    pub(crate) counters: Counters,
+    in_force: RefCell<InForce>,
+    pub(crate) fleet: Rc<RefCell<Fleet>>,
+    line: RefCell<Line<Permit>>,
+    wake: Rc<Notify>,
+    pub(crate) runs: Rc<Runs>,
+    budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    readiness: Cell<Readiness>,
+    store_failed_at: Cell<Option<Time>>,
+}
+
+impl std::fmt::Debug for Gateway {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Gateway(..)")
+    }
+}
+
+/// A place at an endpoint, held until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    pub(crate) place: Place,
+    fleet: Rc<RefCell<Fleet>>,
+    wake: Rc<Notify>,
+    clock: BootClock,
+    ending: Cell<Ending>,
+}
+
+impl Permit {
+    /// Tells how the flight ends; without it nothing is told of the endpoint.
+    pub(crate) fn ending(&self, ending: Ending) {
+        self.ending.set(ending);
+    }
+
+    /// The output has reached this many tokens.
+    pub(crate) fn progress(&self, made: TokenCount) {
+        self.fleet.borrow_mut().progress(self.place.flight, made);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = self.clock.now();
+        self.fleet
+            .borrow_mut()
+            .end(now, self.place.flight, self.ending.get());
+        self.wake.notify_one();
+    }
+}
+
+impl Gateway {
+    /// A gateway that knows nothing yet.
+    #[must_use]
+    pub fn new(options: GatewayOptions) -> Rc<Self> {
+        let revoke_ms = options.bounds.revoke.as_ms();
+        let reliance = Span::from_ms(revoke_ms * RELIANCE_PERCENT / 100);
+        Rc::new(Self {
+            bounds: options.bounds,
+            clock: options.clock,
+            endpoints: options.endpoints,
+            counters: options.counters,
+            in_force: RefCell::new(InForce::new(reliance)),
+            fleet: Rc::new(RefCell::new(Fleet::new(options.bounds.fleet, options.zone))),
+            line: RefCell::default(),
+            wake: Rc::default(),
+            runs: Rc::default(),
+            budgets: RefCell::default(),
+            readiness: Cell::default(),
+            store_failed_at: Cell::default(),
+        })
+    }
+
+    /// The present.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// The runtime's instant for a point of this gateway's clock.
+    pub(crate) fn instant(&self, at: Time) -> Instant {
+        Instant::now() + Duration::from(at.since(self.now()))
+    }
+
+    /// Whether callers should come.
+    #[must_use]
+    pub fn wants_callers(&self) -> bool {
+        self.readiness.get().wants_callers(self.now())
+    }
+
+    /// The process stops; callers should go elsewhere.
+    pub fn stop(&self) {
+        self.change_readiness(|readiness| readiness.stopping = true);
+    }
+
+    /// What is in force, if anything is known.
+    #[must_use]
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.in_force.borrow().catalog().cloned()
+    }
+
+    fn change_readiness(&self, change: impl FnOnce(&mut Readiness)) {
+        let mut readiness = self.readiness.get();
+        let before = readiness.wants_callers(self.now());
+        change(&mut readiness);
+        self.readiness.set(readiness);
+        let after = readiness.wants_callers(self.now());
+        if before != after {
+            log::info!(ready = after, version:% = self.in_force.borrow().version(); "readiness changed");
+        }
+    }
+
+    /// Runs what time alone brings about, until it is dropped.
+    pub async fn keep_time(self: Rc<Self>) {
+        loop {
+            let _ = tokio::time::timeout(TICK, self.wake.notified()).await;
+            let changes = self.fleet.borrow_mut().tick(self.now());
+            self.react(changes);
+            self.pump();
+        }
+    }
+
+    fn pump(&self) {
+        let now = self.now();
+        let mut line = self.line.borrow_mut();
+        line.pump(|need, tried| match self.try_place(now, need, tried) {
+            Ok(permit) => Some(permit),
+            Err(_) => None,
+        });
+        let waiting = i64::try_from(line.len()).unwrap_or(i64::MAX);
+        self.counters.waiting.set(waiting);
+        let running = i64::try_from(self.runs.len()).unwrap_or(i64::MAX);
+        self.counters.running.set(running);
+    }
+
+    /// Takes in what the control thread learnt.
+    pub(crate) fn apply(self: &Rc<Self>, update: Update) {
+        let now = self.now();
+        match update {
+            Update::Orders { asked, orders } => {
+                if let Some(catalog) = orders.catalog {
+                    self.put_in_force(catalog);
+                }
+                if let Some(zones) = orders.zones_out {
+                    log::info!(zones:? = zones; "availability zones out of service changed");
+                    self.fleet.borrow_mut().take_out(zones);
+                }
+                self.in_force.borrow_mut().confirm(asked);
+                let relied_on_until = self.in_force.borrow().relied_on_until();
+                self.change_readiness(|readiness| readiness.relied_on_until = relied_on_until);
+            }
+            Update::Endpoints(update) => {
+                let disturbed = self
+                    .store_failed_at
+                    .get()
+                    .is_some_and(|failed| !(failed + DISTURBED).has_passed(now));
+                let mut changes = Vec::new();
+                {
+                    let mut fleet = self.fleet.borrow_mut();
+                    let ids = update
+                        .listed
+                        .iter()
+                        .map(|listing| listing.endpoint.clone())
+                        .collect();
+                    for listing in update.listed {
+                        changes.extend(fleet.list(now, listing));
+                    }
+                    for id in &update.unlisted {
+                        changes.extend(fleet.unlist(now, id, disturbed));
+                    }
+                    if update.whole {
+                        changes.extend(fleet.list_only(now, &ids, disturbed));
+                    }
+                }
+                self.react(changes);
+                self.change_readiness(|readiness| readiness.endpoints_known = true);
+            }
+            Update::Report { address, report } => {
+                let change = self.fleet.borrow_mut().report(now, address, report);
+                self.react(change);
+            }
+            Update::StoreFailed => self.store_failed_at.set(Some(now)),
+        }
+        self.wake.notify_one();
+    }
+
+    fn put_in_force(&self, catalog: Catalog) {
+        let version = catalog.version();
+        match self.in_force.borrow_mut().replace(catalog) {
+            Replaced::Newer { before } => {
+                log::info!(version:% = version, before:% = before; "a version is in force");
+            }
+            Replaced::Same => return,
+            Replaced::Older => {
+                log::warn!(version:% = version; "an older version was read and dropped");
+                return;
+            }
+        }
+        if let Some(catalog) = self.catalog() {
+            self.fleet.borrow_mut().configure(catalog);
+        }
+        let number = i64::try_from(version.get()).unwrap_or(i64::MAX);
+        self.counters.version.set(number);
+    }
+
+    fn react(self: &Rc<Self>, changes: impl IntoIterator<Item = Change>) {
+        for change in changes {
+            match change {
+                Change::Joined(endpoint) => log::info!(endpoint:% = endpoint; "endpoint joined"),
+                Change::BornAgain(endpoint) => {
+                    log::info!(endpoint:% = endpoint; "endpoint started anew");
+                }
+                Change::Leaves(leaving) => {
+                    let in_ms = leaving.gone_at.since(self.now()).as_ms();
+                    log::info!(
+                        endpoint:% = leaving.endpoint,
+                        gone_in_ms = in_ms,
+                        runs = self.runs.at(&leaving.endpoint).len();
+                        "endpoint leaves"
+                    );
+                    tokio::task::spawn_local(mover::depart(Rc::clone(self), leaving));
+                }
+            }
+        }
+    }
+
+    /// Whether an engine of this service can hand its runs to another.
+    pub(crate) fn moves(&self, service: &ServiceName) -> bool {
+        self.catalog()
+            .and_then(|catalog| catalog.service(service)?.engine)
+            .is_some_and(|engine| engine.moves)
+    }
+
+    /// Tokens in one event of a service's streams.
+    pub(crate) fn event_tokens(&self, service: &ServiceName) -> TokenCount {
+        self.catalog()
+            .and_then(|catalog| catalog.service(service)?.engine)
+            .map_or(TokenCount::new(1), |engine| engine.event_tokens)
+    }
+
+    /// Takes one repeat at a service out of the budget.
+    pub(crate) fn spend_repeat(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        let spent = self.with_budget(service, |budget| budget.spend(now));
+        if spent {
+            self.counters.repeats.inc();
+        }
+        spent
+    }
+
+    fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let now = self.now();
+        let entries = self.fleet.borrow().entries(now);
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(self.bounds.budget, entries, now));
+        budget.share_among(entries);
+        act(budget)
+    }
+
+    /// Tries to find a place now.
+    pub(crate) fn try_place(
+        &self,
+        now: Time,
+        need: &Need,
+        tried: &[lentil_core::EndpointId],
+    ) -> Result<Permit, RefusalReason> {
+        match self.fleet.borrow_mut().place(now, need, tried) {
+            Placement::At(place) => Ok(Permit {
+                place,
+                fleet: Rc::clone(&self.fleet),
+                wake: Rc::clone(&self.wake),
+                clock: self.clock,
+                ending: Cell::new(Ending::Untold),
+            }),
+            Placement::Full => Err(RefusalReason::Overloaded),
+            Placement::Nowhere => Err(RefusalReason::EndpointFailed),
+        }
+    }
+
+    /// Finds a place now or in line, until `until`.
+    pub(crate) async fn find_place(
+        &self,
+        job: &Job,
+        need: Need,
+        tried: &[lentil_core::EndpointId],
+        until: Time,
+    ) -> Result<Permit, Refusal> {
+        let now = self.now();
+        let refuse = |reason| {
+            Refusal::not_run(NotRunProof::NeverSent, reason).retry_after(RETRY_SOON)
+        };
+        let held_up = self.line.borrow().holds_up(&need.service, job.rank);
+        if !held_up {
+            match self.try_place(now, &need, tried) {
+                Ok(permit) => return Ok(permit),
+                Err(RefusalReason::EndpointFailed) => {
+                    return Err(refuse(RefusalReason::EndpointFailed));
+                }
+                Err(_) => {}
+            }
+        }
+        let place = self.line.borrow_mut().join(job.rank, need, tried.to_vec());
+        let Some(place) = place else {
+            return Err(refuse(RefusalReason::Overloaded));
+        };
+        match tokio::time::timeout_at(self.instant(until), place).await {
+            Ok(Ok(permit)) => Ok(permit),
+            Ok(Err(_)) | Err(_) => Err(refuse(RefusalReason::Overloaded)),
+        }
+    }
+
+    /// Whether what is in force may be relied on for this caller now.
+    pub(crate) fn may_rely(&self, organisation: Option<&OrganisationId>) -> Result<(), Refusal> {
+        let lapsed = self.in_force.borrow().relied_on_until().has_passed(self.now());
+        if organisation.is_some() && lapsed {
+            let reason = RefusalReason::LogUnavailable;
+            return Err(
+                Refusal::not_run(NotRunProof::NeverSent, reason).retry_after(RETRY_ELSEWHERE)
+            );
+        }
+        Ok(())
+    }
+
+    /// Finds route and organisation of a request.
+    fn admit(&self, inbound: Inbound, arrived: Time) -> Result<Job, Refusal> {
+        let never = |reason| Refusal::not_run(NotRunProof::NeverSent, reason);
+        let unknown_yet =
+            || never(RefusalReason::LogUnavailable).retry_after(RETRY_ELSEWHERE);
+        let in_force = self.in_force.borrow();
+        let catalog = in_force.catalog().ok_or_else(unknown_yet)?;
+        let lapsed = in_force.relied_on_until().has_passed(self.now());
+        let not_found = |reason| if lapsed { unknown_yet() } else { never(reason) };
+        let route = catalog
+            .route(&inbound.host, inbound.path())
+            .ok_or_else(|| not_found(RefusalReason::NotFound))?;
+        let organisation = if catalog.needs_keys() && !route.public {
+            let key = inbound.key.as_deref().unwrap_or("");
+            let found = catalog.organisation(key);
+            Some(found.ok_or_else(|| not_found(RefusalReason::Unauthorised))?)
+        } else {
+            None
+        };
+        let service = route
+            .service(inbound.id.draw())
+            .ok_or_else(|| never(RefusalReason::NotFound))?;
+        let timeout = inbound.patience.map_or(route.timeout, |patience| {
+            Span::from_us(patience.as_us().min(route.timeout.as_us()))
+        });
+        let timeout = if timeout == Span::ZERO {
+            PATIENCE_DEFAULT
+        } else {
+            timeout
+        };
+        let until = arrived + timeout;
+        Ok(Job::new(
+            route.clone(),
+            service.clone(),
+            organisation.map(|organisation| (organisation.id.clone(), organisation.rank)),
+            catalog.version(),
+            (arrived, until),
+            inbound,
+        ))
+    }
+
+    /// Serves one request; dropping the future cancels it.
+    pub async fn serve(self: Rc<Self>, inbound: Inbound, arrived: Time) -> Answer {
+        let id = inbound.id.clone();
+        let job = match self.admit(inbound, arrived) {
+            Ok(job) => Rc::new(job),
+            Err(refusal) => {
+                self.counters.ended("refused");
+                log::info!(
+                    request:% = id,
+                    version:% = self.version(),
+                    reason:% = refusal.reason;
+                    "request refused at the door"
+                );
+                return Answer::Refused(refusal);
+            }
+        };
+        self.with_budget(&job.service, RetryBudget::earn);
+        let until = self.instant(job.until);
+        let served = match job.route.kind {
+            RouteKind::Streaming => {
+                let served = relay::serve(Rc::clone(&self), Rc::clone(&job));
+                tokio::time::timeout_at(until, served).await
+            }
+            RouteKind::Idempotent | RouteKind::NonIdempotent => {
+                let served = self.serve_whole(&job);
+                tokio::time::timeout_at(until, served).await
+            }
+        };
+        let refusal = match served {
+            Ok(Ok(answer)) => return answer,
+            Ok(Err(refusal)) => refusal,
+            Err(_) => job.refuse(RefusalReason::DeadlineExceeded, None),
+        };
+        self.counters.ended(match refusal.outcome() {
+            Outcome::NotRun => "refused",
+            Outcome::Ran | Outcome::Unknown => "failed",
+        });
+        job.log_end(&self, &refusal.to_string());
+        Answer::Refused(refusal)
+    }
+
+    pub(crate) fn version(&self) -> ConfigVersion {
+        self.in_force.borrow().version()
+    }
+
+    /// What a job needs, where it goes on after `made` tokens.
+    pub(crate) fn need(job: &Job, made: TokenCount) -> Need {
+        Need {
+            service: job.service.clone(),
+            generation: job.generation().map(|(prompt, output)| GenerationNeed {
+                prompt: prompt + made,
+                output: output - made,
+            }),
+            near: None,
+            draw: job.request.id.draw(),
+        }
+    }
+}
+
+/// Whether a route's requests are generations.
+pub(crate) const fn is_stream(route: &Route) -> bool {
+    matches!(route.kind, RouteKind::Streaming)
+}
--- /dev/null
+++ b/crates/gateway/src/head.rs
@@ -0,0 +1,36 @@
+//! Headers that concern one connection alone.
+
+use http::header::{CONNECTION, HeaderMap, HeaderName};
+
+/// Headers that are never passed on.
+const HOP_BY_HOP: [&str; 10] = [
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Removes what concerns one connection, also what `connection` names.
+#[must_use]
+pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers
+}
--- /dev/null
+++ b/crates/gateway/src/observer.rs
@@ -0,0 +1,232 @@
+//! The process beside a model engine that tells gateways about it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::BoxStream;
+use lentil_core::Time;
+use lentil_fleet::{EngineReport, EngineStage};
+use lentil_shell::{BootClock, Duty, DutyError, spawn_io};
+use lentil_wire::v1;
+use lentil_wire::v1::observer_server::{Observer as ObserverService, ObserverServer};
+use thiserror::Error;
+use tokio::sync::watch;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status};
+
+use crate::endpoints::Endpoints;
+
+/// Pause between two questions to the engine; they are free on its own host.
+const ASK_PAUSE: Duration = Duration::from_millis(120);
+/// Least time between two reports that differ in load alone.
+const LOAD_PAUSE: Duration = Duration::from_millis(240);
+/// Most time between two reports.
+const REPEAT: Duration = Duration::from_millis(1_000);
+
+/// The observer can't start.
+#[derive(Debug, Error)]
+pub enum ObserverError {
+    /// Its thread.
+    #[error(transparent)]
+    Duty(#[from] DutyError),
+    /// Its address.
+    #[error("listening at {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// What an observer needs.
+#[derive(Debug, Clone, Copy)]
+pub struct ObserverOptions {
+    /// Where gateways reach it.
+    pub listen: SocketAddr,
+    /// The engine beside it.
+    pub engine: SocketAddr,
+    /// The clock of its deadlines.
+    pub clock: BootClock,
+}
+
+/// A running observer.
+#[derive(Debug)]
+pub struct Observer {
+    _engine: Duty,
+    _gateways: Duty,
+}
+
+impl Observer {
+    /// Starts its threads; `engines` is called on the thread that asks.
+    ///
+    /// # Errors
+    /// The address or a thread is not to be had.
+    pub fn start(
+        options: ObserverOptions,
+        engines: impl FnOnce() -> Rc<dyn Endpoints> + Send + 'static,
+    ) -> Result<Self, ObserverError> {
+        let address = options.listen;
+        let listen = |source| ObserverError::Listen { address, source };
+        let listener = std::net::TcpListener::bind(address).map_err(listen)?;
+        listener.set_nonblocking(true).map_err(listen)?;
+        let (reports, latest) = watch::channel(v1::EngineReport::default());
+        let followers = Arc::new(AtomicU32::new(0));
+        let counted = Arc::clone(&followers);
+        let engine = spawn_io("engine", move || {
+            ask(options, engines(), reports, counted)
+        })?;
+        let service = Service { latest, followers };
+        let gateways = spawn_io("gateways", move || serve(listener, service))?;
+        Ok(Self {
+            _engine: engine,
+            _gateways: gateways,
+        })
+    }
+}
+
+/// Asks the engine, for ever.
+async fn ask(
+    options: ObserverOptions,
+    engines: Rc<dyn Endpoints>,
+    reports: watch::Sender<v1::EngineReport>,
+    followers: Arc<AtomicU32>,
+) {
+    let mut reachable = None;
+    loop {
+        let now = options.clock.now();
+        let mut report = match engines.inspect(options.engine, now).await {
+            Ok(report) => write(now, &report),
+            Err(error) => {
+                if reachable != Some(false) {
+                    log::warn!(engine:% = options.engine; "{error}");
+                }
+                v1::EngineReport::default()
+            }
+        };
+        if reachable != Some(report.reachable) {
+            log::info!(engine:% = options.engine, reachable = report.reachable; "engine seen");
+            reachable = Some(report.reachable);
+        }
+        report.followers = followers.load(Ordering::Relaxed);
+        reports.send_if_modified(|before| {
+            if report.leaving != before.leaving {
+                log::info!(engine:% = options.engine, leaving = report.leaving, gone_in_ms:? = report.gone_in_ms; "engine's stage changed");
+            }
+            let differs = *before != report;
+            *before = report;
+            differs
+        });
+        tokio::time::sleep(ASK_PAUSE).await;
+    }
+}
+
+fn write(now: Time, report: &EngineReport) -> v1::EngineReport {
+    let (leaving, gone_in_ms) = match report.stage {
+        EngineStage::Serving => (false, None),
+        EngineStage::Leaving { at } => (true, at.map(|at| at.since(now).as_ms())),
+    };
+    v1::EngineReport {
+        reachable: true,
+        leaving,
+        gone_in_ms,
+        born_ms: report.born_ms,
+        running: report.running,
+        waiting: report.waiting,
+        memory_used_tokens: report.memory_used.get(),
+        memory_total_tokens: report.memory_total.get(),
+        followers: 0,
+    }
+}
+
+/// Serves gateways, for ever.
+async fn serve(listener: std::net::TcpListener, service: Service) {
+    let listener = match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("listening to gateways: {error}");
+            return;
+        }
+    };
+    let served = tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .http2_keepalive_interval(Some(Duration::from_secs(2)))
+        .http2_keepalive_timeout(Some(Duration::from_secs(2)))
+        .add_service(ObserverServer::new(service))
+        .serve_with_incoming(TcpListenerStream::new(listener));
+    if let Err(error) = served.await {
+        log::error!("serving gateways: {error}");
+    }
+}
+
+struct Service {
+    latest: watch::Receiver<v1::EngineReport>,
+    followers: Arc<AtomicU32>,
+}
+
+/// Counts a follower while it follows.
+struct Follower(Arc<AtomicU32>);
+
+impl Drop for Follower {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+#[tonic::async_trait]
+impl ObserverService for Service {
+    type FollowStream = BoxStream<'static, Result<v1::EngineReport, Status>>;
+
+    async fn follow(
+        &self,
+        request: Request<v1::FollowRequest>,
+    ) -> Result<Response<Self::FollowStream>, Status> {
+        let entry = request.into_inner().entry;
+        log::info!(gateway = entry.as_str(); "a gateway follows");
+        self.followers.fetch_add(1, Ordering::Relaxed);
+        let follower = Follower(Arc::clone(&self.followers));
+        let state = (self.latest.clone(), follower, None);
+        let reports = futures_util::stream::unfold(state, |(mut latest, follower, sent)| async move {
+            let report = next_report(&mut latest, sent.as_ref()).await?;
+            let message = report.clone();
+            Some((Ok(message), (latest, follower, Some(report))))
+        });
+        Ok(Response::new(reports.boxed()))
+    }
+}
+
+/// The next report that a gateway should have: a change of stage at once, a
+/// change of load after a pause, and one now and then without any change.
+async fn next_report(
+    latest: &mut watch::Receiver<v1::EngineReport>,
+    sent: Option<&v1::EngineReport>,
+) -> Option<v1::EngineReport> {
+    let Some(sent) = sent else {
+        return Some(latest.borrow_and_update().clone());
+    };
+    let begun = tokio::time::Instant::now();
+    loop {
+        let elapsed = begun.elapsed();
+        let report = latest.borrow_and_update().clone();
+        let staged = report.leaving != sent.leaving
+            || report.reachable != sent.reachable
+            || report.born_ms != sent.born_ms;
+        if staged || elapsed >= REPEAT || (elapsed >= LOAD_PAUSE && report != *sent) {
+            return Some(report);
+        }
+        let next = if elapsed < LOAD_PAUSE {
+            LOAD_PAUSE
+        } else {
+            REPEAT
+        };
+        let pause = next.saturating_sub(elapsed);
+        match tokio::time::timeout(pause, latest.changed()).await {
+            Ok(Err(_)) => return None,
+            Ok(Ok(())) | Err(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,329 @@
+//! Passing a stream on, event by event, through changes of its engine.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use futures_util::stream::LocalBoxStream;
+use lentil_core::{Refusal, RefusalReason, Span, Time, TokenCount};
+use lentil_fleet::Ending;
+
+use crate::attempt::{Job, Opened, collect, seconds};
+use crate::body::{AnswerBody, Broken};
+use crate::endpoints::{Attestation, Memory, Resume};
+use crate::events::EventSplitter;
+use crate::gateway::{Gateway, Permit};
+use crate::request::Answer;
+use crate::runs::{Continuation, RunTicket};
+
+/// Longest wait for the word where a stopped run goes on.
+const CONTINUATION_WAIT: Duration = Duration::from_millis(2_500);
+
+/// A stream on its way to its caller.
+struct Relay {
+    gateway: Rc<Gateway>,
+    job: Rc<Job>,
+    permit: Permit,
+    ticket: RunTicket,
+    body: LocalBoxStream<'static, Result<Bytes, Broken>>,
+    splitter: EventSplitter,
+    /// The last event that the caller has.
+    last: Option<u64>,
+    prompt: TokenCount,
+    made: TokenCount,
+    event_tokens: TokenCount,
+    passed_at: Time,
+    longest_pause: Span,
+    end: Option<&'static str>,
+}
+
+/// What follows the end of a body.
+enum After {
+    /// The stream goes on at another engine.
+    GoesOn,
+    /// It was complete.
+    Complete,
+    /// It is lost.
+    Lost,
+}
+
+/// Serves a stream: waits for its first event, so that a failure before it can
+/// still be told, and passes the rest on as it comes.
+pub(crate) async fn serve(gateway: Rc<Gateway>, job: Rc<Job>) -> Result<Answer, Refusal> {
+    let resume = job.request.last_event.map(|after| Resume {
+        after: Some(after),
+        memory: None,
+    });
+    let mut tried = Vec::new();
+    let opened = gateway
+        .open(&job, resume, TokenCount::ZERO, &mut tried)
+        .await?;
+    let Opened { reply, permit } = opened;
+    let (status, headers) = (reply.status, reply.headers);
+    if !status.is_success() {
+        let body = collect(reply.body)
+            .await
+            .map_err(|_| job.refuse(RefusalReason::EndpointFailed, None))?;
+        gateway.counters.ended("answered");
+        job.log_end(&gateway, status.as_str());
+        let body = AnswerBody::from(body);
+        return Ok(Answer::Endpoint {
+            status,
+            headers,
+            body,
+        });
+    }
+    let mut relay = Relay::new(Rc::clone(&gateway), Rc::clone(&job), permit, reply.body);
+    let first = match relay.next().await {
+        Some(Ok(first)) => first,
+        Some(Err(Broken)) => {
+            relay.end = Some("lost before its first event");
+            return Err(job.refuse(RefusalReason::EndpointFailed, None));
+        }
+        None => Bytes::new(),
+    };
+    let took = gateway.now().since(job.arrived);
+    gateway.counters.first_s.observe(seconds(took));
+    job.note(format!("first event at {} ms", took.as_ms()));
+    let rest = futures_util::stream::unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.next_in_time().await? {
+            Ok(bytes) => Some((Ok(bytes), Some(relay))),
+            Err(broken) => Some((Err(broken), None)),
+        }
+    });
+    let pieces = futures_util::stream::once(async move { Ok(first) }).chain(rest);
+    Ok(Answer::Endpoint {
+        status,
+        headers,
+        body: AnswerBody::Pieces(pieces.boxed_local()),
+    })
+}
+
+impl Relay {
+    fn new(
+        gateway: Rc<Gateway>,
+        job: Rc<Job>,
+        permit: Permit,
+        body: LocalBoxStream<'static, Result<Bytes, Broken>>,
+    ) -> Self {
+        let (prompt, output) = job.generation().unwrap_or_default();
+        let ticket = gateway.runs.begin(
+            job.request.id.clone(),
+            job.service.clone(),
+            permit.place.clone(),
+            (prompt, output),
+        );
+        let event_tokens = gateway.event_tokens(&job.service);
+        Self {
+            passed_at: gateway.now(),
+            last: job.request.last_event,
+            gateway,
+            job,
+            permit,
+            ticket,
+            body,
+            splitter: EventSplitter::default(),
+            prompt,
+            made: TokenCount::ZERO,
+            event_tokens,
+            longest_pause: Span::ZERO,
+            end: None,
+        }
+    }
+
+    /// The next whole events; none later than the caller's deadline.
+    async fn next_in_time(&mut self) -> Option<Result<Bytes, Broken>> {
+        let until = self.gateway.instant(self.job.until);
+        let next = tokio::time::timeout_at(until, self.next()).await;
+        next.unwrap_or_else(|_| {
+            self.end = Some("cut at its deadline");
+            Some(Err(Broken))
+        })
+    }
+
+    /// The next whole events; `None` at the end of the stream.
+    async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        loop {
+            match self.take_events() {
+                Ok(Some(bytes)) => return Some(Ok(bytes)),
+                Ok(None) => {}
+                Err(Broken) => return Some(Err(self.lose("broke its order"))),
+            }
+            let broke = match self.body.next().await {
+                Some(Ok(bytes)) => {
+                    self.splitter.push(&bytes);
+                    continue;
+                }
+                Some(Err(Broken)) => true,
+                None => self.splitter.is_broken_off(),
+            };
+            match self.after_end(broke).await {
+                After::GoesOn => {}
+                After::Complete => {
+                    self.end = Some("complete");
+                    self.permit.ending(Ending::Good);
+                    return None;
+                }
+                After::Lost => return Some(Err(self.lose("lost"))),
+            }
+        }
+    }
+
+    fn lose(&mut self, why: &'static str) -> Broken {
+        self.end = Some(why);
+        self.permit.ending(Ending::Failed);
+        Broken
+    }
+
+    /// All whole events that have come, each once and in order.
+    fn take_events(&mut self) -> Result<Option<Bytes>, Broken> {
+        let mut first: Option<Bytes> = None;
+        let mut joined = BytesMut::new();
+        while let Some(event) = self.splitter.next_event().map_err(|_| Broken)? {
+            if let (Some(number), Some(last)) = (event.number, self.last)
+                && number <= last
+            {
+                continue;
+            }
+            self.last = event.number.or(self.last);
+            self.made += self.event_tokens;
+            match first.take() {
+                None if joined.is_empty() => first = Some(event.bytes),
+                None => joined.extend_from_slice(&event.bytes),
+                Some(earlier) => {
+                    joined.extend_from_slice(&earlier);
+                    joined.extend_from_slice(&event.bytes);
+                }
+            }
+        }
+        let bytes = first.unwrap_or_else(|| joined.freeze());
+        if bytes.is_empty() {
+            return Ok(None);
+        }
+        self.count();
+        Ok(Some(bytes))
+    }
+
+    fn count(&mut self) {
+        let now = self.gateway.now();
+        let run = &self.ticket.run;
+        if run.begun.replace(true) {
+            let pause = now.since(self.passed_at);
+            self.longest_pause = self.longest_pause.max(pause);
+        }
+        self.passed_at = now;
+        run.memory.set(self.prompt + self.made);
+        let (_, output) = self.job.generation().unwrap_or_default();
+        run.growth.set(output - self.made);
+        self.permit.progress(self.made);
+    }
+
+    /// The engine's body ended, or broke off.
+    async fn after_end(&mut self, broke: bool) -> After {
+        if let Some(word) = self.ticket.run.take_continuation() {
+            match tokio::time::timeout(CONTINUATION_WAIT, word).await {
+                Ok(Ok(Continuation::From { permit, memory })) => {
+                    return self.go_on(permit, memory).await;
+                }
+                Ok(Ok(Continuation::Ended) | Err(_)) | Err(_) => {}
+            }
+        }
+        if !broke {
+            return After::Complete;
+        }
+        if !self.job.route.repeatable() || !self.job.may_repeat(&self.gateway) {
+            return After::Lost;
+        }
+        self.resume().await
+    }
+
+    /// Goes on from a copy of the run's memory; it is the same run.
+    async fn go_on(&mut self, permit: Permit, memory: Memory) -> After {
+        let resume = Resume {
+            after: self.last,
+            memory: Some(memory),
+        };
+        let call = self.gateway.call(&self.job, &permit, Some(resume));
+        let endpoint = permit.place.endpoint.clone();
+        match self.gateway.endpoints.send(call).await {
+            Ok(reply) if reply.status.is_success() && reply.attestation == Attestation::Ran => {
+                self.job.note(format!(
+                    "goes on at {endpoint} after event {}",
+                    self.last.unwrap_or(0)
+                ));
+                self.gateway.counters.moved("went_on");
+                self.take_over(permit, reply.body);
+                After::GoesOn
+            }
+            Ok(reply) => {
+                self.job
+                    .note(format!("{endpoint} did not go on: {}", reply.status));
+                self.gateway.counters.moved("refused");
+                After::Lost
+            }
+            Err(error) => {
+                permit.ending(Ending::Unreached);
+                self.job.note(format!("{endpoint} did not go on: {error}"));
+                self.gateway.counters.moved("failed");
+                After::Lost
+            }
+        }
+    }
+
+    /// Has another engine make the rest anew.
+    async fn resume(&mut self) -> After {
+        self.permit.ending(Ending::Failed);
+        let resume = Resume {
+            after: self.last,
+            memory: None,
+        };
+        let mut tried = vec![self.permit.place.endpoint.clone()];
+        let opened = self
+            .gateway
+            .open(&self.job, Some(resume), self.made, &mut tried)
+            .await;
+        match opened {
+            Ok(opened) if opened.reply.status.is_success() => {
+                self.take_over(opened.permit, opened.reply.body);
+                After::GoesOn
+            }
+            Ok(_) | Err(_) => After::Lost,
+        }
+    }
+
+    fn take_over(
+        &mut self,
+        permit: Permit,
+        body: LocalBoxStream<'static, Result<Bytes, Broken>>,
+    ) {
+        self.ticket.run.place.replace(permit.place.clone());
+        permit.progress(self.made);
+        self.permit = permit;
+        self.body = body;
+        self.splitter.clear();
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let end = self.end.unwrap_or("its caller left");
+        let outcome = match self.end {
+            Some("complete") => "answered",
+            Some(_) => "broken",
+            None => "left",
+        };
+        self.gateway.counters.ended(outcome);
+        self.gateway
+            .counters
+            .pause_s
+            .observe(seconds(self.longest_pause));
+        self.job.note(format!(
+            "{} tokens, longest pause {} ms",
+            self.made,
+            self.longest_pause.as_ms()
+        ));
+        self.job.log_end(&self.gateway, end);
+    }
+}
--- /dev/null
+++ b/crates/lentiltray/src/command/gateway.rs
@@ -0,0 +1,204 @@
+//! `lentiltray gateway`
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bpaf::Parser;
+use eyre::Context;
+use lentil_adapter::{
+    Callers, EndpointTopic, HttpEndpoints, MetricsPage, OrderTopic, ReadinessPage, Store,
+};
+use lentil_core::Span;
+use lentil_fleet::{BudgetBounds, FleetBounds};
+use lentil_gateway::{
+    Connections, Control, ControlOptions, Counters, Directories, Gateway, GatewayBounds,
+    GatewayOptions, Handler, Pool, Stage, serve,
+};
+use lentil_settings::{Node, NodeRole};
+use lentil_shell::{BootClock, spawn_io};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use super::{load_node, settings_file};
+
+/// Connections of callers; the rest of the descriptors is for endpoints.
+const CALLERS_MAX: usize = 2_800;
+/// Connections to the readiness and metrics pages.
+const PAGES_MAX: usize = 32;
+/// Idle time of connections before a configuration names one.
+const IDLE_DEFAULT: Duration = Duration::from_secs(20);
+/// Time in which the balancer notices that no more callers should come: it asks
+/// once a second and counts two misses.
+const NOTICE: Duration = Duration::from_millis(2_300);
+/// Time before the end of the grace in which the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(400);
+/// How long an entry that vanished while the store was disturbed is waited
+/// for; the platform promises about two seconds.
+const LAPSE_GRACE: Span = Span::from_ms(2_300);
+
+/// Options of `lentiltray gateway`.
+#[derive(Debug, Clone)]
+pub(crate) struct Options {
+    settings: PathBuf,
+}
+
+/// Declares the options.
+pub(crate) fn options() -> impl Parser<Options> {
+    settings_file().map(|settings| Options { settings })
+}
+
+/// Runs until the process is told to stop.
+pub(crate) fn execute(options: &Options) -> eyre::Result<ExitCode> {
+    let node = match load_node(&options.settings) {
+        Ok(node) => node,
+        Err(code) => return Ok(code),
+    };
+    let NodeRole::Gateway(settings) = node.role.clone() else {
+        eyre::bail!("the settings have no section gateway");
+    };
+    let serving = spawn_io("callers", {
+        let path = options.settings.clone();
+        move || async move {
+            if let Err(error) = run(node, settings, path).await {
+                log::error!("the gateway ends: {error:#}");
+                std::process::exit(1);
+            }
+        }
+    })?;
+    serving.join()?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn bounds(settings: &lentil_settings::Gateway) -> GatewayBounds {
+    GatewayBounds {
+        revoke: settings.revoke,
+        fleet: FleetBounds {
+            cold_slack: settings.cold_slack_per_s,
+            drain: settings.drain,
+            lapse_grace: LAPSE_GRACE,
+        },
+        budget: BudgetBounds {
+            ratio: settings.retry_ratio,
+            slack: settings.retry_slack,
+            window: settings.retry_window,
+        },
+    }
+}
+
+fn start_control(
+    node: &Node,
+    settings: &lentil_settings::Gateway,
+    clock: BootClock,
+) -> eyre::Result<Control> {
+    let options = ControlOptions {
+        name: node.name.clone(),
+        clock,
+        observer_port: settings.observer_port,
+    };
+    let address = settings.store;
+    Ok(Control::start(options, move || {
+        let pool = Pool::default();
+        let store = Store::new(pool.clone(), address);
+        Directories {
+            orders: Box::new(OrderTopic::new(store.clone())),
+            endpoints: Box::new(EndpointTopic::new(store)),
+            engines: Rc::new(HttpEndpoints::new(pool, clock)),
+        }
+    })?)
+}
+
+/// A listener and what answers its requests.
+struct Site {
+    address: SocketAddr,
+    handler: Rc<dyn Handler>,
+    connections: Rc<Connections>,
+}
+
+async fn listen(
+    site: Site,
+    stage: watch::Receiver<Stage>,
+) -> eyre::Result<tokio::task::JoinHandle<()>> {
+    let listener = TcpListener::bind(site.address)
+        .await
+        .with_context(|| format!("listening at {}", site.address))?;
+    let served = serve(listener, site.handler, site.connections, stage);
+    Ok(tokio::task::spawn_local(served))
+}
+
+fn pages() -> Rc<Connections> {
+    Rc::new(Connections::new(PAGES_MAX, IDLE_DEFAULT))
+}
+
+async fn run(
+    node: Node,
+    settings: lentil_settings::Gateway,
+    path: PathBuf,
+) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("listening to SIGTERM")?;
+    let mut hangup = signal(SignalKind::hangup()).context("listening to SIGHUP")?;
+    let clock = BootClock::start();
+    let counters = Counters::default();
+    let gateway = Gateway::new(GatewayOptions {
+        zone: node.zone.clone(),
+        bounds: bounds(&settings),
+        clock,
+        endpoints: Rc::new(HttpEndpoints::new(Pool::default(), clock)),
+        counters: counters.clone(),
+    });
+    let control = start_control(&node, &settings, clock)?;
+    tokio::task::spawn_local(control.feed(Rc::clone(&gateway)));
+    tokio::task::spawn_local(Rc::clone(&gateway).keep_time());
+    let (stage, seen) = watch::channel(Stage::Serving);
+    // The pages go on until the process ends.
+    let (_ending, pages_stage) = watch::channel(Stage::Serving);
+    let connections = Rc::new(Connections::new(CALLERS_MAX, IDLE_DEFAULT));
+    let readiness = Site {
+        address: settings.readiness,
+        handler: Rc::new(ReadinessPage::new(Rc::clone(&gateway))),
+        connections: pages(),
+    };
+    listen(readiness, pages_stage.clone()).await?;
+    let metrics = Site {
+        address: settings.metrics,
+        handler: Rc::new(MetricsPage::new(counters)),
+        connections: pages(),
+    };
+    listen(metrics, pages_stage).await?;
+    let callers = Site {
+        address: settings.callers,
+        handler: Rc::new(Callers::new(Rc::clone(&gateway), Rc::clone(&connections))),
+        connections,
+    };
+    let serving = listen(callers, seen).await?;
+    log::info!(name = node.name.as_str(), zone:% = node.zone, callers:% = settings.callers; "gateway started");
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => reload(&path, &node),
+        }
+    }
+    log::info!(name = node.name.as_str(), connections_drain_ms = NOTICE.as_millis(); "gateway stops");
+    let end = tokio::time::Instant::now() + Duration::from(settings.grace).saturating_sub(END_MARGIN);
+    gateway.stop();
+    stage.send_replace(Stage::Draining);
+    tokio::time::sleep(NOTICE).await;
+    stage.send_replace(Stage::Closing);
+    match tokio::time::timeout_at(end, serving).await {
+        Ok(_) => log::info!("gateway ended; no request was cut"),
+        Err(_) => log::warn!("gateway ends; requests outlast its grace"),
+    }
+    std::process::exit(0);
+}
+
+/// Reads the settings again; what they change takes a restart.
+fn reload(path: &std::path::Path, node: &Node) {
+    match lentil_settings::load_node(path) {
+        Ok(read) if read == *node => log::info!("settings read again; nothing changed"),
+        Ok(_) => log::warn!("settings changed; they are applied at the next start"),
+        Err(error) => log::error!("settings not read again; the old ones hold: {error}"),
+    }
+}
--- a/crates/lentiltray/src/command/mod.rs
+++ b/crates/lentiltray/src/command/mod.rs
@@ -3,13 +3,15 @@
 pub(crate) mod agent;
 pub(crate) mod check;
 pub(crate) mod entry;
+pub(crate) mod gateway;
+pub(crate) mod observer;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use bpaf::Parser;
 use lentil_core::Span;
-use lentil_settings::{Process, Settings};
+use lentil_settings::{LogFormat, Node, Process, Settings};
 use lentil_shell::{StopSignals, start_logs, start_traces};
 
 /// Exit code of a process whose settings are wrong.
@@ -30,6 +32,17 @@
     })
 }
 
+/// Reads the settings of a gateway or an observer and starts its logs, or tells
+/// the first wrong setting and gives the exit code.
+fn load_node(path: &Path) -> Result<Node, ExitCode> {
+    let node = lentil_settings::load_node(path).map_err(|error| {
+        eprintln!("{}: {error}", path.display());
+        ExitCode::from(WRONG_SETTINGS)
+    })?;
+    start_logs(LogFormat::Json, node.log_level);
+    Ok(node)
+}
+
 /// Starts logs and traces as the settings say, and listens to signals.
 fn prepare(settings: &Settings) -> eyre::Result<(StopSignals, Span)> {
     let process = Process::try_from(settings)?;
--- a/crates/lentiltray/src/main.rs
+++ b/crates/lentiltray/src/main.rs
@@ -1,4 +1,4 @@
-//! The daemon: an entry or an agent.
+//! The daemon: an entry or an agent, a gateway or an observer.
 
 mod command;
 
@@ -6,13 +6,15 @@
 
 use bpaf::{OptionParser, Parser};
 
-use crate::command::{agent, check, entry};
+use crate::command::{agent, check, entry, gateway, observer};
 
 #[derive(Debug, Clone)]
 enum Command {
     Entry(entry::Options),
     Agent(agent::Options),
     Check(check::Options),
+    Gateway(gateway::Options),
+    Observer(observer::Options),
 }
 
 fn options() -> OptionParser<Command> {
@@ -31,7 +33,17 @@
         .to_options()
         .command("check")
         .help("Check settings and start nothing");
-    bpaf::construct!([entry, agent, check])
+    let gateway = gateway::options()
+        .map(Command::Gateway)
+        .to_options()
+        .command("gateway")
+        .help("Forward callers' requests on the users' platform");
+    let observer = observer::options()
+        .map(Command::Observer)
+        .to_options()
+        .command("observer")
+        .help("Tell gateways about the engine beside it");
+    bpaf::construct!([entry, agent, check, gateway, observer])
         .to_options()
         .descr("Serves model generations of unknown length on crowded engines")
         .version(env!("CARGO_PKG_VERSION"))
@@ -42,5 +54,7 @@
         Command::Entry(options) => entry::execute(&options),
         Command::Agent(options) => agent::execute(&options),
         Command::Check(options) => Ok(check::execute(&options)),
+        Command::Gateway(options) => gateway::execute(&options),
+        Command::Observer(options) => observer::execute(&options),
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -8,6 +8,7 @@
 mod error;
 mod load;
 mod locate;
+mod node;
 mod process;
 mod secret;
 mod section;
@@ -33,6 +34,7 @@
     StopSettings, TraceExport, TraceSettings,
 };
 pub use load::{load, load_process, parse, parse_process};
+pub use node::{Gateway, Node, NodeRole, Observer, load_node, parse_node};
 pub use process::{
     Agent, Entry, Exposure, IdempotentCalls, Identity, Kind, Limits, Listen, Platform, Process,
     Role, Security, Trace,
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -2,8 +2,10 @@
 
 use std::path::Path;
 
+use serde::de::DeserializeOwned;
+
 use crate::locate::{FieldMap, Place};
-use crate::{Problem, Process, Settings, SettingsError, WrongSetting};
+use crate::{Problem, Process, Settings, SettingsError, WrongField, WrongSetting};
 
 /// How the path of a whole text is written.
 const WHOLE_TEXT: &str = ".";
@@ -46,7 +48,7 @@
     Ok(process)
 }
 
-fn read(path: &Path) -> Result<String, SettingsError> {
+pub(crate) fn read(path: &Path) -> Result<String, SettingsError> {
     std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
         path: path.to_owned(),
         source,
@@ -54,15 +56,19 @@
 }
 
 fn parse_both(text: &str) -> Result<(Settings, Process), WrongSetting> {
-    let settings = parse_shape(text)?;
-    let process = Process::try_from(&settings).map_err(|error| {
-        let place = FieldMap::read(text).place(&error.field);
-        wrong(place, error.field, error.problem)
-    })?;
+    let settings = read_shape(text)?;
+    let process = Process::try_from(&settings).map_err(|error| wrong_field(text, error))?;
     Ok((settings, process))
 }
 
-fn parse_shape(text: &str) -> Result<Settings, WrongSetting> {
+/// A wrong field with its place in the text.
+pub(crate) fn wrong_field(text: &str, error: WrongField) -> WrongSetting {
+    let place = FieldMap::read(text).place(&error.field);
+    wrong(place, error.field, error.problem)
+}
+
+/// Reads a text of a schema's shape.
+pub(crate) fn read_shape<T: DeserializeOwned>(text: &str) -> Result<T, WrongSetting> {
     let mut path = String::new();
     let read = serde_saphyr::with_deserializer_from_str(text, |deserializer| {
         serde_path_to_error::deserialize(deserializer).map_err(|error| {
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -17,7 +17,7 @@
 mod tls;
 mod trace;
 
-pub use clock::Clock;
+pub use clock::{BootClock, Clock};
 pub use drain::{Drain, Ticket};
 pub use duty::{Duty, DutyError, spawn, spawn_http, spawn_io};
 pub use keys::{bearer, shows_key};
--- a/crates/shell/src/logs.rs
+++ b/crates/shell/src/logs.rs
@@ -1,7 +1,7 @@
-//! Log lines on standard error.
+//! Log lines on standard output.
 
 use lentil_settings::{LogFormat, LogLevel};
-use logforth::append::{FastraceEvent, Stderr};
+use logforth::append::{FastraceEvent, Stdout};
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::{JsonLayout, TextLayout};
 use logforth::record::{Level, LevelFilter};
@@ -19,8 +19,8 @@
             .build()
     };
     let append = match format {
-        LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
-        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+        LogFormat::Text => Stdout::default().with_layout(TextLayout::default().no_color()),
+        LogFormat::Json => Stdout::default().with_layout(JsonLayout::default()),
     };
     let started = logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.filter(filter()).append(append))
