Move runs by turns on the leaving engine's link

Ruled out: lack of room (two of the refusals only) and late notice (seen within 0.1 s). Change: the observer grants the link to one gateway at a time, and a run is copied and switched within one turn; no more waiting until shortly before the end.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -10,8 +10,8 @@
 use crate::endpoint::{Endpoint, EngineReport, EngineStage, Listing, Standing, ToldLoad};
 use crate::flight::{Ending, Flight, FlightId};
 use crate::place::{
-    FAILING_WEIGHT, FAR_WEIGHT, GROWTH_PART, GenerationNeed, JITTER, MEMORY_FILL, Need, Place,
-    Placement, UNREAD_FULL_TOKENS,
+    FAILING_WEIGHT, FAR_COPY_WEIGHT, FAR_WEIGHT, GROWTH_PART, GenerationNeed, JITTER, MEMORY_FILL,
+    Nearness, Need, Place, Placement, UNREAD_FULL_TOKENS,
 };
 
 /// How long an engine's report is believed.
@@ -432,11 +432,14 @@
             Some(generation) => self.engine_load(now, id, endpoint, service, generation)?,
             None => self.service_load(now, id, endpoint, entries),
         };
-        let near = need.near.as_ref().unwrap_or(&self.zone);
+        let (near, weight) = match &need.near {
+            Nearness::Own => (&self.zone, FAR_WEIGHT),
+            Nearness::Copy(zone) => (zone, FAR_COPY_WEIGHT),
+        };
         let far = if endpoint.listing.zone == *near {
             0.0
         } else {
-            FAR_WEIGHT
+            weight
         };
         let failing = endpoint.health.failing_share() * FAILING_WEIGHT;
         Some(load + far + failing + jitter(id, need.draw))
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,4 +22,4 @@
 pub use endpoint::{EngineReport, EngineStage, Listing};
 pub use fleet::{Change, Fleet, FleetBounds, Leaving};
 pub use flight::{Ending, FlightId};
-pub use place::{GenerationNeed, Need, Place, Placement};
+pub use place::{GenerationNeed, Nearness, Need, Place, Placement};
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -17,6 +17,9 @@
 pub(crate) const FAILING_WEIGHT: f64 = 2.0;
 /// What another availability zone weighs against a full memory.
 pub(crate) const FAR_WEIGHT: f64 = 0.04;
+/// The same for a copy: the time on its source's link decides how many runs are
+/// saved.
+pub(crate) const FAR_COPY_WEIGHT: f64 = 0.3;
 /// Largest random part of a score; it keeps entries with the same figures
 /// from choosing alike.
 pub(crate) const JITTER: f64 = 0.05;
@@ -30,6 +33,15 @@
     pub output: TokenCount,
 }
 
+/// Which availability zone to prefer, and how much.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Nearness {
+    /// The entry's own: bytes between zones cost.
+    Own,
+    /// That of a copy's source: a copy to another zone takes twice as long.
+    Copy(ZoneId),
+}
+
 /// What a request needs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Need {
@@ -37,8 +49,8 @@
     pub service: ServiceName,
     /// What it needs of an engine; `None` at plain services.
     pub generation: Option<GenerationNeed>,
-    /// The availability zone to prefer; the entry's own if none is given.
-    pub near: Option<ZoneId>,
+    /// Which availability zone to prefer.
+    pub near: Nearness,
     /// A random number, for the jitter.
     pub draw: u64,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +13,7 @@
     Span, Time, TokenCount, ZoneId,
 };
 use lentil_fleet::{
-    BudgetBounds, Change, Ending, Fleet, FleetBounds, GenerationNeed, Need, Place, Placement,
+    BudgetBounds, Change, Ending, Fleet, FleetBounds, GenerationNeed, Nearness, Need, Place, Placement,
     RetryBudget,
 };
 use lentil_shell::BootClock;
@@ -29,6 +30,7 @@
 use crate::relay;
 use crate::request::{Answer, Inbound};
 use crate::runs::Runs;
+use crate::turns::Turns;
 
 /// Longest time a request may take where neither caller nor route states one.
 const PATIENCE_DEFAULT: Span = Span::from_s(30);
@@ -58,6 +60,10 @@
 
 /// What a gateway is made of.
 pub struct GatewayOptions {
+    /// Its name.
+    pub name: String,
+    /// The port of observers.
+    pub observer_port: u16,
     /// Its availability zone.
     pub zone: ZoneId,
     /// Bounds that the deployment sets.
@@ -72,6 +78,8 @@
 
 /// One gateway; it belongs to the thread that serves callers.
 pub struct Gateway {
+    name: String,
+    observer_port: u16,
     bounds: GatewayBounds,
     clock: BootClock,
     pub(crate) endpoints: Rc<dyn Endpoints>,
@@ -131,6 +139,8 @@
         let revoke_ms = options.bounds.revoke.as_ms();
         let reliance = Span::from_ms(revoke_ms * RELIANCE_PERCENT / 100);
         Rc::new(Self {
+            name: options.name,
+            observer_port: options.observer_port,
             bounds: options.bounds,
             clock: options.clock,
             endpoints: options.endpoints,
@@ -146,6 +156,17 @@
         })
     }
 
+    /// Its name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Turns on the link of an engine.
+    pub(crate) fn turns_at(&self, engine: SocketAddr) -> Turns {
+        Turns::new(engine, SocketAddr::new(engine.ip(), self.observer_port))
+    }
+
     /// The present.
     #[must_use]
     pub fn now(&self) -> Time {
@@ -492,7 +513,7 @@
                 prompt: prompt + made,
                 output: output - made,
             }),
-            near: None,
+            near: Nearness::Own,
             draw: job.request.id.draw(),
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod request;
 mod runs;
 mod stop;
+mod turns;
 
 pub use body::{AnswerBody, Broken};
 pub use control::{Control, ControlError, ControlOptions, Directories};
--- a/crates/gateway/src/mover.rs
+++ b/crates/gateway/src/mover.rs
@@ -2,45 +2,37 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
-use lentil_core::Time;
-use lentil_core::{Span, TokenCount};
-use lentil_fleet::{GenerationNeed, Leaving, Need};
+use lentil_core::{EndpointId, Span, Time, TokenCount};
+use lentil_fleet::{GenerationNeed, Leaving, Nearness, Need};
 use lentil_handoff::{Action, Departure, RunView};
 
 use crate::endpoints::{CopyError, CopyOrder, Memory};
 use crate::gateway::{Gateway, Permit};
 use crate::runs::{Continuation, Run, RunKey};
+use crate::turns::Turns;
 
-/// Longest time between two looks at the runs of a leaving engine.
-const LOOK: Span = Span::from_ms(40);
 /// How long after its expected end an engine may still be there.
 const AFTER_END: Span = Span::from_ms(300);
-/// Pause after no engine had room for a copy.
-const NO_ROOM_PAUSE: Duration = Duration::from_millis(60);
-
-/// A copy that lies at another engine.
-struct CopyAt {
-    permit: Permit,
-    memory: Memory,
-}
 
 /// One leaving engine.
 struct Mover {
     gateway: Rc<Gateway>,
     leaving: Leaving,
     plan: Departure<RunKey>,
-    copies: BTreeMap<RunKey, CopyAt>,
+    turns: Turns,
+    /// Engines that did not take a run.
+    declined: BTreeMap<RunKey, Vec<EndpointId>>,
 }
 
 /// Moves runs off a leaving engine until it is gone.
 pub(crate) async fn depart(gateway: Rc<Gateway>, leaving: Leaving) {
     let mut mover = Mover {
         plan: Departure::new(leaving.gone_at),
+        turns: gateway.turns_at(leaving.address),
         gateway,
         leaving,
-        copies: BTreeMap::new(),
+        declined: BTreeMap::new(),
     };
     while let Some(gone_at) = mover.gone_at() {
         let now = mover.gateway.now();
@@ -48,45 +40,31 @@
             break;
         }
         mover.plan.expect_end(gone_at);
-        mover.free_unused();
-        let runs = mover.movable();
-        match mover.plan.next(now, &views(&runs)) {
-            Action::Copy(key) => mover.copy(key).await,
-            Action::Switch(key) => mover.switch(key).await,
-            Action::Wait(until) => mover.wait(now, until).await,
+        match mover.plan.next(now, &mover.views()) {
+            Action::Move(key) => mover.take_turn(key, true).await,
+            Action::Switch(key) => mover.take_turn(key, false).await,
+            Action::Wait(until) => tokio::time::sleep(until.since(now).into()).await,
         }
     }
-    mover.free_all();
-}
-
-fn views(runs: &[Rc<Run>]) -> Vec<RunView<RunKey>> {
-    runs.iter()
-        .map(|run| RunView {
-            run: run.key,
-            memory: run.memory.get(),
-            begun: run.begun.get(),
-        })
-        .collect()
 }
 
 impl Mover {
     fn gone_at(&self) -> Option<Time> {
-        self.gateway
-            .fleet
-            .borrow()
-            .gone_at(&self.leaving.endpoint)
+        self.gateway.fleet.borrow().gone_at(&self.leaving.endpoint)
     }
 
-    fn movable(&self) -> Vec<Rc<Run>> {
-        let mut runs = self.gateway.runs.at(&self.leaving.endpoint);
-        runs.retain(|run| self.gateway.moves(&run.service));
-        runs
-    }
-
-    async fn wait(&self, now: Time, until: Time) {
-        let until = until.min(now + LOOK);
-        let least = Duration::from_millis(1);
-        tokio::time::sleep(Duration::from(until.since(now)).max(least)).await;
+    fn views(&self) -> Vec<RunView<RunKey>> {
+        self.gateway
+            .runs
+            .at(&self.leaving.endpoint)
+            .iter()
+            .filter(|run| self.gateway.moves(&run.service))
+            .map(|run| RunView {
+                run: run.key,
+                growth: run.growth.get(),
+                begun: run.begun.get(),
+            })
+            .collect()
     }
 
     /// A place for a run's memory at another engine.
@@ -97,13 +75,14 @@
                 prompt: run.memory.get(),
                 output: run.growth.get(),
             }),
-            near: Some(self.leaving.zone.clone()),
+            near: Nearness::Copy(self.leaving.zone.clone()),
             draw: run.request.draw(),
         };
-        let tried = std::slice::from_ref(&self.leaving.endpoint);
+        let mut tried = self.declined.get(&run.key).cloned().unwrap_or_default();
+        tried.push(self.leaving.endpoint.clone());
         let permit = self
             .gateway
-            .try_place(self.gateway.now(), &need, tried)
+            .try_place(self.gateway.now(), &need, &tried)
             .ok()?;
         permit.progress(TokenCount::ZERO);
         Some(permit)
@@ -119,115 +98,104 @@
         }
     }
 
-    async fn copy(&mut self, key: RunKey) {
+    /// Moves one run, alone on the engine's link.
+    async fn take_turn(&mut self, key: RunKey, copies_first: bool) {
+        let _turn = self.turns.hold(&self.gateway).await;
         let Some(run) = self.gateway.runs.get(key) else {
             return;
         };
+        if run.place.borrow().endpoint != self.leaving.endpoint {
+            return;
+        }
         let Some(permit) = self.find_target(&run) else {
             self.gateway.counters.moved("no_room");
-            tokio::time::sleep(NO_ROOM_PAUSE).await;
+            log::info!(request:% = run.request; "no engine has room for a run that must move");
+            self.declined.remove(&key);
+            self.plan.failed(self.gateway.now(), key);
             return;
         };
-        let order = self.order(&run, &permit, false);
+        let memory = if copies_first {
+            match self.copy(&run, &permit).await {
+                Some(memory) => Some(memory),
+                None => return,
+            }
+        } else {
+            None
+        };
+        self.switch(&run, permit, memory).await;
+    }
+
+    async fn copy(&mut self, run: &Run, target: &Permit) -> Option<Memory> {
         let began = self.gateway.now();
+        let order = self.order(run, target, false);
         let result = self.gateway.endpoints.copy(order).await;
-        let took_ms = self.gateway.now().since(began).as_ms();
+        let now = self.gateway.now();
+        let took_ms = now.since(began).as_ms();
+        let endpoint = &target.place.endpoint;
         match result {
             Ok(copied) => {
                 self.gateway.counters.moved("copied");
-                log::debug!(request:% = run.request, took_ms = took_ms; "run copied");
-                let memory = Memory {
+                log::info!(request:% = run.request, to:% = endpoint, tokens = run.memory.get().get(), took_ms = took_ms; "run copied");
+                Some(Memory {
                     source: self.leaving.address,
                     handle: copied.handle,
-                };
-                self.copies.insert(key, CopyAt { permit, memory });
-                self.plan.copied(key);
+                })
             }
             Err(error) => {
                 self.gateway.counters.moved("copy_failed");
-                log::info!(request:% = run.request, took_ms = took_ms; "run not copied: {error}");
-                self.plan.failed(key);
+                log::info!(request:% = run.request, to:% = endpoint, took_ms = took_ms; "run not copied: {error}");
+                let declined = self.declined.entry(run.key).or_default();
+                declined.push(endpoint.clone());
+                self.plan.failed(now, run.key);
+                None
             }
         }
     }
 
-    async fn switch(&mut self, key: RunKey) {
-        let Some(run) = self.gateway.runs.get(key) else {
-            return;
-        };
-        let copy = self.copies.remove(&key);
-        let permit = match copy {
-            Some(copy) => copy.permit,
-            None => match self.find_target(&run) {
-                Some(permit) => permit,
-                None => {
-                    tokio::time::sleep(NO_ROOM_PAUSE).await;
-                    return;
-                }
-            },
-        };
-        let order = self.order(&run, &permit, true);
+    async fn switch(&mut self, run: &Run, permit: Permit, copy: Option<Memory>) {
+        let order = self.order(run, &permit, true);
         let word = run.expect_switch();
         let began = self.gateway.now();
         let result = self.gateway.endpoints.copy(order).await;
-        let took_ms = self.gateway.now().since(began).as_ms();
-        let source = self.leaving.address;
+        let now = self.gateway.now();
+        let took_ms = now.since(began).as_ms();
+        let endpoint = permit.place.endpoint.clone();
         match result {
             Ok(copied) => {
                 self.gateway.counters.moved("switched");
-                log::info!(request:% = run.request, took_ms = took_ms, to:% = permit.place.endpoint; "run switched");
+                log::info!(request:% = run.request, to:% = endpoint, took_ms = took_ms; "run switched");
                 let memory = Memory {
-                    source,
+                    source: self.leaving.address,
                     handle: copied.handle,
                 };
-                self.plan.switched(key);
+                self.plan.moved(run.key);
                 drop(word.send(Continuation::From { permit, memory }));
             }
             Err(CopyError::NoRun) => {
-                self.plan.switched(key);
+                self.plan.moved(run.key);
                 drop(word.send(Continuation::Ended));
+                self.free(permit, copy);
             }
             Err(error) => {
                 self.gateway.counters.moved("switch_failed");
-                log::warn!(request:% = run.request, took_ms = took_ms; "run not switched: {error}");
-                self.plan.failed(key);
-            }
-        }
-    }
-
-    /// Frees copies of runs that ended by themselves.
-    fn free_unused(&mut self) {
-        let here: Vec<_> = self
-            .gateway
-            .runs
-            .at(&self.leaving.endpoint)
-            .iter()
-            .map(|run| run.key)
-            .collect();
-        let unused: Vec<_> = self
-            .copies
-            .keys()
-            .filter(|key| !here.contains(key))
-            .copied()
-            .collect();
-        for key in unused {
-            if let Some(copy) = self.copies.remove(&key) {
-                self.free(copy);
+                log::warn!(request:% = run.request, to:% = endpoint, took_ms = took_ms; "run not switched: {error}");
+                let declined = self.declined.entry(run.key).or_default();
+                declined.push(endpoint);
+                self.plan.failed(now, run.key);
+                self.free(permit, copy);
             }
         }
     }
 
-    fn free_all(&mut self) {
-        for (_, copy) in std::mem::take(&mut self.copies) {
-            self.free(copy);
-        }
-    }
-
-    fn free(&self, copy: CopyAt) {
+    /// Frees a copy that nobody will use.
+    fn free(&self, permit: Permit, copy: Option<Memory>) {
+        let Some(memory) = copy else {
+            return;
+        };
         let endpoints = Rc::clone(&self.gateway.endpoints);
         tokio::task::spawn_local(async move {
-            endpoints.release(copy.memory).await;
-            drop(copy.permit);
+            endpoints.release(memory).await;
+            drop(permit);
         });
     }
 }
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -14,7 +14,7 @@
 use lentil_wire::v1;
 use lentil_wire::v1::observer_server::{Observer as ObserverService, ObserverServer};
 use thiserror::Error;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Request, Response, Status};
 
@@ -27,6 +27,9 @@
 /// Most time between two reports.
 const REPEAT: Duration = Duration::from_millis(1_000);
 
+/// Longest turn on the engine's link.
+const TURN_MAX: Duration = Duration::from_millis(1_000);
+
 /// The observer can't start.
 #[derive(Debug, Error)]
 pub enum ObserverError {
@@ -80,7 +83,11 @@
         let engine = spawn_io("engine", move || {
             ask(options, engines(), reports, counted)
         })?;
-        let service = Service { latest, followers };
+        let service = Service {
+            latest,
+            followers,
+            link: Arc::new(Semaphore::new(1)),
+        };
         let gateways = spawn_io("gateways", move || serve(listener, service))?;
         Ok(Self {
             _engine: engine,
@@ -166,6 +173,8 @@
 struct Service {
     latest: watch::Receiver<v1::EngineReport>,
     followers: Arc<AtomicU32>,
+    /// The engine's link for copies; turns are granted in order.
+    link: Arc<Semaphore>,
 }
 
 /// Counts a follower while it follows.
@@ -179,6 +188,33 @@
 
 #[tonic::async_trait]
 impl ObserverService for Service {
+    type HoldLinkStream = BoxStream<'static, Result<v1::LinkGranted, Status>>;
+
+    async fn hold_link(
+        &self,
+        request: Request<v1::HoldLinkRequest>,
+    ) -> Result<Response<Self::HoldLinkStream>, Status> {
+        let entry = request.into_inner().entry;
+        let link = Arc::clone(&self.link);
+        let turn = futures_util::stream::once(async move {
+            let turn = link.acquire_owned().await;
+            turn.map_err(|_| Status::unavailable("the observer ends"))
+        });
+        let held = turn.flat_map(move |turn| {
+            log::debug!(gateway = entry.as_str(); "a gateway has the link");
+            let granted = futures_util::stream::once(std::future::ready(
+                turn.as_ref().map(|_| v1::LinkGranted {}).map_err(Clone::clone),
+            ));
+            let end = futures_util::stream::once(async move {
+                let _turn = turn;
+                tokio::time::sleep(TURN_MAX).await;
+                Err(Status::deadline_exceeded("the turn is over"))
+            });
+            granted.chain(end)
+        });
+        Ok(Response::new(held.boxed()))
+    }
+
     type FollowStream = BoxStream<'static, Result<v1::EngineReport, Status>>;
 
     async fn follow(
--- /dev/null
+++ b/crates/gateway/src/turns.rs
@@ -0,0 +1,71 @@
+//! Turns on the link of an engine that several gateways copy memory from.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use lentil_wire::v1;
+use lentil_wire::v1::observer_client::ObserverClient;
+use tonic::transport::{Channel, Endpoint};
+
+use crate::gateway::Gateway;
+
+/// Longest wait for a turn. An engine that leaves is gone soon, so a run is
+/// rather moved out of turn than not at all.
+const TURN_WAIT: Duration = Duration::from_millis(900);
+/// Longest wait for a connection to an observer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Asks the observer of one engine for turns.
+#[derive(Debug)]
+pub(crate) struct Turns {
+    client: Option<ObserverClient<Channel>>,
+    engine: SocketAddr,
+}
+
+/// A turn; it ends when this is dropped.
+#[derive(Debug)]
+pub(crate) struct Turn {
+    _held: tonic::Streaming<v1::LinkGranted>,
+}
+
+impl Turns {
+    pub(crate) fn new(engine: SocketAddr, observer: SocketAddr) -> Self {
+        let endpoint = Endpoint::from_shared(format!("http://{observer}"));
+        let client = match endpoint {
+            Ok(endpoint) => {
+                let endpoint = endpoint.connect_timeout(CONNECT_TIMEOUT).tcp_nodelay(true);
+                Some(ObserverClient::new(endpoint.connect_lazy()))
+            }
+            Err(error) => {
+                log::error!(engine:% = engine; "no turns on its link: {error}");
+                None
+            }
+        };
+        Self { client, engine }
+    }
+
+    /// Waits for a turn; `None` where none is to be had in time.
+    pub(crate) async fn hold(&mut self, gateway: &Gateway) -> Option<Turn> {
+        let client = self.client.as_mut()?;
+        let request = v1::HoldLinkRequest {
+            entry: gateway.name().to_owned(),
+        };
+        let granted = async {
+            let mut held = client.hold_link(request).await?.into_inner();
+            held.message().await?;
+            Ok::<_, tonic::Status>(Turn { _held: held })
+        };
+        match tokio::time::timeout(TURN_WAIT, granted).await {
+            Ok(Ok(turn)) => Some(turn),
+            Ok(Err(status)) => {
+                log::info!(engine:% = self.engine; "no turn on its link: {status}");
+                self.client = None;
+                None
+            }
+            Err(_) => {
+                log::info!(engine:% = self.engine; "no turn on its link in time");
+                None
+            }
+        }
+    }
+}
--- a/crates/handoff/src/lib.rs
+++ b/crates/handoff/src/lib.rs
@@ -7,8 +7,9 @@
 //!
 //! A copy is made while the generation goes on; the switch stops it, copies
 //! only what has been added since and lets the other engine go on, so that the
-//! reader's pause stays short. Copies end early enough to leave the link free
-//! for the switches.
+//! reader's pause stays short. Both belong to one turn on the engine's link,
+//! which all entries share: a switch that queued behind another run's copy
+//! would leave its reader waiting.
 
 mod departure;
 
--- a/crates/lentiltray/src/command/gateway.rs
+++ b/crates/lentiltray/src/command/gateway.rs
@@ -143,6 +143,8 @@
     let clock = BootClock::start();
     let counters = Counters::default();
     let gateway = Gateway::new(GatewayOptions {
+        name: node.name.clone(),
+        observer_port: settings.observer_port,
         zone: node.zone.clone(),
         bounds: bounds(&settings),
         clock,
--- a/crates/shell/src/stop.rs
+++ b/crates/shell/src/stop.rs
@@ -1,4 +1,4 @@
-//! Signals that stop a process.
+//! Signals that a process listens to.
 
 use std::io;
 
@@ -11,12 +11,13 @@
 /// Exit code of a process that was ended before its work had finished.
 const ENDED_EARLY: i32 = 3;
 
-/// Listens to SIGTERM and SIGINT.
+/// Listens to SIGTERM and SIGINT, and outlives SIGHUP.
 #[derive(Debug)]
 pub struct StopSignals {
     runtime: Runtime,
     terminate: Signal,
     interrupt: Signal,
+    hangup: Signal,
 }
 
 impl StopSignals {
@@ -26,27 +27,35 @@
     /// The system gives no signals.
     pub fn listen() -> io::Result<Self> {
         let runtime = Builder::new_current_thread().enable_all().build()?;
-        let (terminate, interrupt) = {
+        let (terminate, interrupt, hangup) = {
             let _guard = runtime.enter();
             (
                 signal(SignalKind::terminate())?,
                 signal(SignalKind::interrupt())?,
+                signal(SignalKind::hangup())?,
             )
         };
         Ok(Self {
             runtime,
             terminate,
             interrupt,
+            hangup,
         })
     }
 
-    /// Waits for a signal.
+    /// Waits for a signal that stops the process.
     pub fn wait(&mut self) {
         let (terminate, interrupt) = (&mut self.terminate, &mut self.interrupt);
+        let hangup = &mut self.hangup;
         self.runtime.block_on(async {
-            tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
+            loop {
+                tokio::select! {
+                    _ = terminate.recv() => return,
+                    _ = interrupt.recv() => return,
+                    _ = hangup.recv() => {
+                        log::info!("SIGHUP: changed settings are applied at the next start");
+                    }
+                }
             }
         });
     }
