Give an address to the endpoint that started last

Cause: after a loss of power the list holds entries of engines that are no more beside new ones at the same addresses; requests went to four of the former in turn, got 421 each and were refused. Ruled out: full engines; a slow list (the new entries were known). Change: of two entries with one address the later start holds; an endpoint whose address answers for another one is gone at once. Tests of the fleet crate come with it.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -120,7 +120,36 @@
     }
 
     /// The list shows an endpoint.
-    pub fn list(&mut self, now: Time, listing: Listing) -> Option<Change> {
+    ///
+    /// Where two entries name one address, the endpoint that started later has
+    /// it; the entry of the other one has not expired yet.
+    pub fn list(&mut self, now: Time, listing: Listing) -> Vec<Change> {
+        let rivals: Vec<_> = self
+            .endpoints
+            .iter()
+            .filter(|(id, endpoint)| {
+                **id != listing.endpoint && endpoint.listing.address == listing.address
+            })
+            .map(|(id, endpoint)| (id.clone(), endpoint.listing.born_ms))
+            .collect();
+        let later = |born_ms: &Option<u64>| *born_ms > listing.born_ms;
+        if rivals.iter().any(|(_, born_ms)| later(born_ms)) {
+            return Vec::new();
+        }
+        let mut changes: Vec<_> = rivals
+            .iter()
+            .filter_map(|(id, _)| self.gone(now, id))
+            .collect();
+        changes.extend(self.list_alone(now, listing));
+        changes
+    }
+
+    /// An endpoint is no longer at its address.
+    pub fn gone(&mut self, now: Time, id: &EndpointId) -> Option<Change> {
+        self.begin_leaving(now, id, Some(now), true)
+    }
+
+    fn list_alone(&mut self, now: Time, listing: Listing) -> Option<Change> {
         let id = listing.endpoint.clone();
         let Some(endpoint) = self.endpoints.get_mut(&id) else {
             let draining = listing.draining;
--- /dev/null
+++ b/crates/fleet/tests/it/cold_bound.rs
@@ -0,0 +1,68 @@
+//! What all entries together send to a cold endpoint.
+
+use lentil_core::{Span, Time};
+use lentil_fleet::{Ending, Fleet, Placement};
+use proptest::prelude::*;
+
+use crate::build::{fleet, listing, ms, need, report};
+
+/// Requests a second that a cold endpoint bears: 35 x 1.5 + 5.
+const BOUND: usize = 57;
+
+fn cold_fleet(entries: u32) -> Fleet {
+    let mut fleet = fleet();
+    let mut cold = listing(1);
+    cold.cold_for = Span::from_s(30);
+    fleet.list(ms(0), cold);
+    fleet.report(ms(0), listing(1).address, report(0, 0, entries));
+    fleet
+}
+
+fn send(fleet: &mut Fleet, now: Time) -> bool {
+    match fleet.place(now, &need(1, 1), &[]) {
+        Placement::At(place) => {
+            fleet.end(now, place.flight, Ending::Good);
+            true
+        }
+        Placement::Full | Placement::Nowhere => false,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(lentil_scenario::seed()),
+        ..ProptestConfig::default()
+    })]
+
+    /// Entries that don't talk to each other keep the bound in every second.
+    #[test]
+    fn bound_holds(
+        entries in 1_u32..12,
+        gaps_ms in prop::collection::vec(0_u64..20, 1..600),
+    ) {
+        let mut fleets: Vec<_> = (0..entries).map(|_| cold_fleet(entries)).collect();
+        let mut sent = Vec::new();
+        let mut now_ms = 1;
+        for (step, gap_ms) in gaps_ms.into_iter().enumerate() {
+            now_ms += gap_ms;
+            let entry = step % fleets.len();
+            if now_ms < 1_400 && send(&mut fleets[entry], ms(now_ms)) {
+                sent.push(now_ms);
+            }
+        }
+        for start in &sent {
+            let within = sent.iter().filter(|at| (*start..start + 1_000).contains(at));
+            prop_assert!(within.count() <= BOUND);
+        }
+    }
+}
+
+/// The guard bites: a warm endpoint gets more than a cold one bears.
+#[test]
+fn warm_is_unbounded() {
+    let mut fleet = fleet();
+    fleet.list(ms(0), listing(1));
+    let sent = (0..200).filter(|step| send(&mut fleet, ms(*step))).count();
+    assert_eq!(sent, 200);
+}
--- /dev/null
+++ b/crates/fleet/tests/it/memory_forecast.rs
@@ -0,0 +1,96 @@
+//! Placing by the forecast of memory; the load is that of crowded engines on
+//! which several entries place with the same late reports.
+
+use lentil_core::{EndpointId, TokenCount};
+use lentil_fleet::{Ending, Nearness, Placement};
+
+use crate::build::{fleet, id, listing, ms, need, placed, report};
+
+#[test]
+fn emptiest_first() {
+    let mut fleet = fleet();
+    for number in [1, 2, 3] {
+        fleet.list(ms(0), listing(number));
+    }
+    for (number, used) in [(1, 20_000), (2, 5_000), (3, 15_000)] {
+        fleet.report(ms(10), listing(number).address, report(used, 2, 4));
+    }
+    let placement = fleet.place(ms(20), &need(3_000, 900), &[]);
+    assert_eq!(placed(&placement), Some(id(2)));
+}
+
+/// Placements since the last report count, or all would go to one engine.
+#[test]
+fn no_herd_between_reports() {
+    let mut fleet = fleet();
+    for number in 1..=4 {
+        fleet.list(ms(0), listing(number));
+        fleet.report(ms(10), listing(number).address, report(0, 0, 4));
+    }
+    let mut counts = std::collections::BTreeMap::<EndpointId, usize>::new();
+    for step in 0..12 {
+        let placement = fleet.place(ms(20 + step), &need(3_000, 900), &[]);
+        *counts.entry(placed(&placement).unwrap()).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| *count == 3), "{counts:?}");
+}
+
+#[test]
+fn full_holds_back() {
+    let mut fleet = fleet();
+    fleet.list(ms(0), listing(1));
+    fleet.report(ms(10), listing(1).address, report(30_000, 8, 4));
+    assert_eq!(fleet.place(ms(20), &need(3_000, 900), &[]), Placement::Full);
+}
+
+/// An engine with nothing on it takes any request, also one beyond forecasts.
+#[test]
+fn empty_takes_any() {
+    let mut fleet = fleet();
+    fleet.list(ms(0), listing(1));
+    let placement = fleet.place(ms(20), &need(33_000, 9_000), &[]);
+    assert_eq!(placed(&placement), Some(id(1)));
+}
+
+#[test]
+fn ended_gives_back() {
+    let mut fleet = fleet();
+    fleet.list(ms(0), listing(1));
+    let mut flights = Vec::new();
+    while let Placement::At(place) = fleet.place(ms(1), &need(6_000, 1_000), &[]) {
+        flights.push(place.flight);
+    }
+    assert!(flights.len() >= 4);
+    fleet.progress(flights[0], TokenCount::new(40));
+    fleet.end(ms(2), flights[0], Ending::Good);
+    assert!(placed(&fleet.place(ms(3), &need(6_000, 1_000), &[])).is_some());
+}
+
+/// Copies stay in their source's zone while there is room: the time on the
+/// leaving engine's link decides how many runs are saved.
+#[test]
+fn copies_stay_near() {
+    let mut fleet = fleet();
+    fleet.list(ms(0), listing(1));
+    let mut far = listing(2);
+    far.zone = "b".parse().unwrap();
+    fleet.list(ms(0), far);
+    fleet.report(ms(5), listing(1).address, report(4_000, 1, 4));
+    fleet.report(ms(5), listing(2).address, report(0, 0, 4));
+    let mut need = need(3_000, 500);
+    need.near = Nearness::Copy("a".parse().unwrap());
+    assert_eq!(placed(&fleet.place(ms(10), &need, &[])), Some(id(1)));
+}
+
+/// An endpoint that can't be reached pauses and is tried again later.
+#[test]
+fn unreached_pauses() {
+    let mut fleet = fleet();
+    fleet.list(ms(0), listing(1));
+    let Placement::At(place) = fleet.place(ms(1), &need(10, 10), &[]) else {
+        panic!("an open endpoint takes work");
+    };
+    fleet.end(ms(2), place.flight, Ending::Unreached);
+    assert_eq!(fleet.place(ms(3), &need(10, 10), &[]), Placement::Full);
+    assert!(placed(&fleet.place(ms(300), &need(10, 10), &[])).is_some());
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -188,11 +188,10 @@
             self.learn(&endpoint, &reply);
             match reply.attestation {
                 Attestation::OtherEndpoint => {
-                    permit.ending(Ending::Unreached);
                     never_arrived("another endpoint has its address".into());
-                    unreached += 1;
-                    if unreached >= UNREACHED_MAX {
-                        return Err(job.refuse(RefusalReason::EndpointFailed, None));
+                    let gone = self.fleet.borrow_mut().gone(self.now(), &endpoint);
+                    if gone.is_some() {
+                        log::info!(endpoint:% = endpoint; "endpoint is no longer at its address");
                     }
                 }
                 Attestation::NotRun => {
