Hedge lookups, doubt cut zones, wait less for connections

Cause: in a cut of an availability zone each request tried endpoints beyond the cut in turn, 400 ms each; lookups at a silent endpoint waited for their deadline. Ruled out: a larger number of tries (the tries were what took the time).

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -18,6 +18,11 @@
 const REPORT_LASTS: Span = Span::from_ms(1_500);
 /// How long the load told with an answer is believed.
 const TOLD_LASTS: Span = Span::from_ms(500);
+/// Endpoints of an availability zone that could not be reached before the whole
+/// zone is in doubt.
+const DOUBT_ENDPOINTS: u32 = 2;
+/// What that doubt weighs against a full memory.
+const DOUBT_WEIGHT: f64 = 0.6;
 /// Entries assumed to send to an endpoint while no report tells their number.
 const ENTRIES_ASSUMED: u32 = 8;
 /// Tokens by which another entry's running generation will yet grow.
@@ -363,6 +368,7 @@
             .catalog
             .as_ref()
             .and_then(|catalog| catalog.service(&need.service).cloned());
+        let doubtful = self.doubtful_zones(now);
         let mut alive = false;
         let mut best: Option<(f64, EndpointId)> = None;
         let ids: Vec<_> = self
@@ -383,6 +389,11 @@
             let Some(score) = self.score(now, &id, need, service.as_ref(), entries) else {
                 continue;
             };
+            let doubt = self.endpoints.get(&id).map_or(0.0, |endpoint| {
+                let doubted = doubtful.contains(&endpoint.listing.zone);
+                if doubted { DOUBT_WEIGHT } else { 0.0 }
+            });
+            let score = score + doubt;
             if best.as_ref().is_none_or(|(lowest, _)| score < *lowest) {
                 best = Some((score, id));
             }
@@ -394,6 +405,22 @@
         }
     }
 
+    /// Other availability zones in which several endpoints could not be reached
+    /// just now: this one may be cut off from them.
+    fn doubtful_zones(&self, now: Time) -> BTreeSet<ZoneId> {
+        let mut unreached: BTreeMap<&ZoneId, u32> = BTreeMap::new();
+        for endpoint in self.endpoints.values() {
+            if endpoint.health.recently_unreached(now) && endpoint.listing.zone != self.zone {
+                *unreached.entry(&endpoint.listing.zone).or_default() += 1;
+            }
+        }
+        unreached
+            .into_iter()
+            .filter(|(_, count)| *count >= DOUBT_ENDPOINTS)
+            .map(|(zone, _)| zone.clone())
+            .collect()
+    }
+
     fn begin(&mut self, now: Time, id: EndpointId, need: &Need) -> Placement {
         let Some(endpoint) = self.endpoints.get_mut(&id) else {
             return Placement::Nowhere;
--- a/crates/fleet/tests/it/memory_forecast.rs
+++ b/crates/fleet/tests/it/memory_forecast.rs
@@ -94,3 +94,30 @@
     assert_eq!(fleet.place(ms(3), &need(10, 10), &[]), Placement::Full);
     assert!(placed(&fleet.place(ms(300), &need(10, 10), &[])).is_some());
 }
+
+/// A zone in which two endpoints could not be reached is left for the entry's
+/// own, before each of its other endpoints has been tried in vain.
+#[test]
+fn cut_zone_is_doubted() {
+    let mut fleet = fleet();
+    for number in 1..=4 {
+        let mut listing = listing(number);
+        if number > 1 {
+            listing.zone = "b".parse().unwrap();
+        }
+        fleet.list(ms(0), listing);
+    }
+    fleet.report(ms(1), listing(1).address, report(12_000, 3, 4));
+    for number in 2..=4 {
+        fleet.report(ms(1), listing(number).address, report(0, 0, 4));
+    }
+    for _ in 0..2 {
+        let Placement::At(place) = fleet.place(ms(2), &need(3_000, 100), &[]) else {
+            panic!("there is room");
+        };
+        assert_ne!(place.endpoint, id(1));
+        fleet.end(ms(3), place.flight, Ending::Unreached);
+    }
+    let placement = fleet.place(ms(4), &need(3_000, 100), &[]);
+    assert_eq!(placed(&placement), Some(id(1)));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use futures_util::future::{Either, select};
 use lentil_catalog::{Rank, Route};
 use lentil_core::{
     ConfigVersion, EndpointId, NotRunProof, OrganisationId, Refusal, RefusalReason, ServiceName,
@@ -24,6 +25,10 @@
 /// Part of the target latency that a generation may wait for a place, in
 /// percent; beyond it the first event would come late.
 const WAIT_PERCENT: u64 = 100;
+/// Part of the target latency after which a request that may run twice is sent
+/// to a second endpoint, in percent: late enough that few are, early enough
+/// that the second answer can be on time.
+const HEDGE_PERCENT: u64 = 60;
 /// Output expected of a generation whose caller gives no estimate, in percent
 /// of its longest.
 const OUTPUT_PERCENT: u32 = 50;
@@ -44,6 +49,8 @@
     sent: Cell<u32>,
     /// Whether any of them may have run it.
     may_have_run: Cell<bool>,
+    /// Endpoints that get no further try.
+    tried: RefCell<Vec<EndpointId>>,
     /// What became of each sending, for the log.
     trail: RefCell<Vec<String>>,
 }
@@ -78,6 +85,7 @@
             until,
             sent: Cell::new(0),
             may_have_run: Cell::new(false),
+            tried: RefCell::default(),
             trail: RefCell::default(),
             route,
         }
@@ -111,6 +119,11 @@
         self.sent.get() < self.route.endpoints_max.max(1) && gateway.spend_repeat(&self.service)
     }
 
+    /// Keeps an endpoint from getting a further try.
+    pub(crate) fn excludes(&self, endpoint: EndpointId) {
+        self.tried.borrow_mut().push(endpoint);
+    }
+
     pub(crate) fn note(&self, text: String) {
         self.trail.borrow_mut().push(text);
     }
@@ -138,14 +151,14 @@
         job: &Job,
         resume: Option<Resume>,
         made: TokenCount,
-        tried: &mut Vec<EndpointId>,
     ) -> Result<Opened, Refusal> {
         let mut unreached = 0;
         let wait = Span::from_us(job.route.target_latency.as_us() / 100 * WAIT_PERCENT);
         loop {
             let wait_until = job.until.min(self.now() + wait);
             let need = Self::need(job, made);
-            let permit = match self.find_place(job, need, tried, wait_until).await {
+            let tried = job.tried.borrow().clone();
+            let permit = match self.find_place(job, need, &tried, wait_until).await {
                 Ok(permit) => permit,
                 Err(refusal) => {
                     job.note(format!("no place: {}", refusal.reason));
@@ -154,7 +167,7 @@
             };
             self.may_rely(job.organisation.as_ref())?;
             let endpoint = permit.place.endpoint.clone();
-            tried.push(endpoint.clone());
+            job.excludes(endpoint.clone());
             job.sent.set(job.sent.get() + 1);
             let sent_before = job.may_have_run.replace(true);
             let sent_at = self.now();
@@ -251,10 +264,31 @@
 
     /// Serves a request whose answer is passed on whole.
     pub(crate) async fn serve_whole(&self, job: &Job) -> Result<Answer, Refusal> {
-        let mut tried = Vec::new();
+        let first = std::pin::pin!(self.whole_once(job));
+        if !job.route.repeatable() {
+            return first.await;
+        }
+        let delay = Span::from_us(job.route.target_latency.as_us() / 100 * HEDGE_PERCENT);
+        let pause = std::pin::pin!(tokio::time::sleep(delay.into()));
+        let first = match select(first, pause).await {
+            Either::Left((answer, _)) => return answer,
+            Either::Right(((), first)) => first,
+        };
+        if !job.may_repeat(self) {
+            return first.await;
+        }
+        job.note("hedged".into());
+        let second = std::pin::pin!(self.whole_once(job));
+        match select(first, second).await {
+            Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => Ok(answer),
+            Either::Left((Err(_), second)) => second.await,
+            Either::Right((Err(_), first)) => first.await,
+        }
+    }
+
+    async fn whole_once(&self, job: &Job) -> Result<Answer, Refusal> {
         loop {
-            let opened = self.open(job, None, TokenCount::ZERO, &mut tried).await?;
-            let Opened { reply, permit } = opened;
+            let Opened { reply, permit } = self.open(job, None, TokenCount::ZERO).await?;
             let status = reply.status;
             match collect(reply.body).await {
                 Ok(body) => {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -32,14 +32,16 @@
 const IDLE_ONCE: Duration = Duration::from_millis(800);
 /// Idle connections kept to one peer.
 const IDLE_MAX: usize = 24;
-/// Longest wait for a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time without an acknowledgement after which a connection is dead.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Longest wait for a connection: hosts of a region are milliseconds apart, and
+/// a lost opening packet is sent again only after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time without an acknowledgement after which a connection is dead. Callers
+/// wait for the next event of a stream about as long, and a cut may heal.
+const USER_TIMEOUT: Duration = Duration::from_secs(7);
 /// Idle time before a connection is probed, and the pause between probes.
 const PROBE_PAUSE: Duration = Duration::from_secs(1);
 /// Probes without an answer after which a connection is dead.
-const PROBES_MAX: u32 = 3;
+const PROBES_MAX: u32 = 6;
 
 /// Whether an idle connection may carry a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -142,7 +144,7 @@
                 Err((error, None)) => return Err(error),
             }
         }
-        let connection = connect(peer).await?;
+        let connection = connect(peer).await.inspect_err(|_| self.forget(peer))?;
         self.exchange(peer, connection, request)
             .await
             .map_err(|(error, unsent)| match (error, unsent) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -55,10 +55,7 @@
         after: Some(after),
         memory: None,
     });
-    let mut tried = Vec::new();
-    let opened = gateway
-        .open(&job, resume, TokenCount::ZERO, &mut tried)
-        .await?;
+    let opened = gateway.open(&job, resume, TokenCount::ZERO).await?;
     let Opened { reply, permit } = opened;
     let (status, headers) = (reply.status, reply.headers);
     if !status.is_success() {
@@ -279,10 +276,10 @@
             after: self.last,
             memory: None,
         };
-        let mut tried = vec![self.permit.place.endpoint.clone()];
+        self.job.excludes(self.permit.place.endpoint.clone());
         let opened = self
             .gateway
-            .open(&self.job, Some(resume), self.made, &mut tried)
+            .open(&self.job, Some(resume), self.made)
             .await;
         match opened {
             Ok(opened) if opened.reply.status.is_success() => {
