Tell all gateways of requests that crash endpoints; test the path as processes

Change: a broken connection whose endpoint accepts none any more is a crash; the request's fingerprint is told to observers, which all gateways follow; after three crashes it is refused. A crossed answer no longer counts as an endpoint that can't be reached. Logs go to standard output, so the tests read them there.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -12,5 +12,5 @@
 
 pub use catalog::{CallerLimits, Catalog, CatalogError, Draft, Organisation};
 pub use in_force::{InForce, Replaced};
-pub use route::{RankError, Rank, Route, RouteKind, Share};
+pub use route::{Rank, RankError, Route, RouteKind, Share};
 pub use service::{ColdBound, EngineShape, Service};
--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -108,7 +108,11 @@
     /// The service of a request with this draw; equal draws get the same one.
     #[must_use]
     pub fn service(&self, draw: u64) -> Option<&ServiceName> {
-        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let total: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
         let mut point = draw.checked_rem(total)?;
         for share in &self.shares {
             let weight = u64::from(share.weight);
--- a/crates/catalog/tests/it/longest_prefix.rs
+++ b/crates/catalog/tests/it/longest_prefix.rs
@@ -6,9 +6,17 @@
 
 #[test]
 fn longest_wins() {
-    let routes = vec![route("h", "/", "a"), route("h", "/x/y/", "b"), route("h", "/x/", "a")];
+    let routes = vec![
+        route("h", "/", "a"),
+        route("h", "/x/y/", "b"),
+        route("h", "/x/", "a"),
+    ];
     let catalog = catalog(1, routes);
-    let prefix = |path: &str| catalog.route("H", path).map(|route| route.path_prefix.as_str());
+    let prefix = |path: &str| {
+        catalog
+            .route("H", path)
+            .map(|route| route.path_prefix.as_str())
+    };
     assert_eq!(prefix("/x/y/z"), Some("/x/y/"));
     assert_eq!(prefix("/x/yz"), Some("/x/"));
     assert_eq!(prefix("/q"), Some("/"));
@@ -49,5 +57,8 @@
     ));
     let mut empty = route("h", "/", "a");
     empty.shares[0].weight = 0;
-    assert!(matches!(refused(vec![empty]), CatalogError::NoService { .. }));
+    assert!(matches!(
+        refused(vec![empty]),
+        CatalogError::NoService { .. }
+    ));
 }
--- a/crates/catalog/tests/it/main.rs
+++ b/crates/catalog/tests/it/main.rs
@@ -1,6 +1,11 @@
 //! Tests of what is in force.
 
-#![allow(clippy::expect_used, clippy::indexing_slicing, clippy::panic, clippy::unwrap_used)]
+#![allow(
+    clippy::expect_used,
+    clippy::indexing_slicing,
+    clippy::panic,
+    clippy::unwrap_used
+)]
 
 mod build;
 mod longest_prefix;
--- a/crates/catalog/tests/it/reliance_lapse.rs
+++ b/crates/catalog/tests/it/reliance_lapse.rs
@@ -13,7 +13,10 @@
 fn never_back() {
     let mut in_force = InForce::new(Span::from_s(4));
     let none = ConfigVersion::default();
-    assert_eq!(in_force.replace(version(5)), Replaced::Newer { before: none });
+    assert_eq!(
+        in_force.replace(version(5)),
+        Replaced::Newer { before: none }
+    );
     assert_eq!(in_force.replace(version(3)), Replaced::Older);
     assert_eq!(in_force.replace(version(5)), Replaced::Same);
     assert_eq!(in_force.version(), ConfigVersion::new(5));
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -73,15 +73,10 @@
     Open,
     /// Its entry vanished while the platform's store was disturbed; it counts
     /// as open until this time and as leaving from then on.
-    Lapsed {
-        until: Time,
-    },
+    Lapsed { until: Time },
     /// It gets no new work and is gone at this time. Unless it `announced`
     /// that, its entry alone vanished and may come back.
-    Leaving {
-        gone_at: Time,
-        announced: bool,
-    },
+    Leaving { gone_at: Time, announced: bool },
 }
 
 #[derive(Debug, Clone)]
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -315,6 +315,15 @@
         }
     }
 
+    /// Unix millisecond of an endpoint's start; 0 if it isn't known.
+    #[must_use]
+    pub fn born_ms(&self, id: &EndpointId) -> u64 {
+        self.endpoints
+            .get(id)
+            .and_then(|endpoint| endpoint.listing.born_ms)
+            .unwrap_or(0)
+    }
+
     /// Lets time pass: lapsed entries count as leaving, and endpoints that are
     /// unlisted and without flights are forgotten.
     pub fn tick(&mut self, now: Time) -> Vec<Change> {
@@ -356,9 +365,9 @@
     /// Whether any endpoint of a service may get work.
     #[must_use]
     pub fn serves(&self, now: Time, service: &ServiceName) -> bool {
-        self.endpoints.iter().any(|(id, endpoint)| {
-            endpoint.listing.service == *service && self.open(now, id)
-        })
+        self.endpoints
+            .iter()
+            .any(|(id, endpoint)| endpoint.listing.service == *service && self.open(now, id))
     }
 
     /// Chooses an endpoint and begins a flight there.
@@ -501,13 +510,7 @@
         Some(load + far + failing + jitter(id, need.draw))
     }
 
-    fn service_load(
-        &self,
-        now: Time,
-        id: &EndpointId,
-        endpoint: &Endpoint,
-        entries: u32,
-    ) -> f64 {
+    fn service_load(&self, now: Time, id: &EndpointId, endpoint: &Endpoint, entries: u32) -> f64 {
         let own = f64::from(count(self.flights_at(id).count()));
         let told = endpoint
             .told
@@ -515,7 +518,8 @@
         match told {
             Some(told) => {
                 let since = self.flights_at(id).filter(|flight| flight.placed > told.at);
-                let known = f64::from(told.running + told.waiting) + f64::from(count(since.count()));
+                let known =
+                    f64::from(told.running + told.waiting) + f64::from(count(since.count()));
                 known / f64::from(told.slots.max(1))
             }
             None => own * f64::from(entries) / f64::from(ENTRIES_ASSUMED),
@@ -564,8 +568,8 @@
         };
         let others = running.saturating_sub(own_count);
         let growth = f64::from(own_growth.get()) + f64::from(others * GROWTH_ASSUMED);
-        let need = f64::from(generation.prompt.get())
-            + f64::from(generation.output.get()) * GROWTH_PART;
+        let need =
+            f64::from(generation.prompt.get()) + f64::from(generation.output.get()) * GROWTH_PART;
         let forecast = f64::from(used.get()) + growth * GROWTH_PART;
         let total = f64::from(total.max(1));
         let empty = running == 0 && waiting == 0 && own_count == 0;
@@ -580,8 +584,8 @@
             }
         });
         let others_unread = waiting.saturating_sub(self.unstarted(id));
-        let unread = f64::from(unread.get())
-            + f64::from(others_unread) * f64::from(generation.prompt.get());
+        let unread =
+            f64::from(unread.get()) + f64::from(others_unread) * f64::from(generation.prompt.get());
         Some((forecast + need) / total + unread / UNREAD_FULL_TOKENS)
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,14 +8,15 @@
 use futures_util::future::{Either, select};
 use lentil_catalog::{Rank, Route};
 use lentil_core::{
-    ConfigVersion, EndpointId, NotRunProof, OrganisationId, Refusal, RefusalReason, ServiceName,
-    Span, Time, TokenCount,
+    ConfigVersion, EndpointId, Fingerprint, NotRunProof, OrganisationId, Refusal, RefusalReason,
+    ServiceName, Span, Time, TokenCount,
 };
 use lentil_fleet::Ending;
 
 use crate::body::{AnswerBody, Broken};
 use crate::endpoints::{Attestation, Call, Reply, Resume, SendError};
 use crate::gateway::{Gateway, Permit, RETRY_SOON, is_stream};
+use crate::poison;
 use crate::request::{Answer, Inbound};
 
 /// Endpoints that are tried in vain, with nothing sent, before giving up.
@@ -42,6 +43,8 @@
     pub(crate) organisation: Option<OrganisationId>,
     pub(crate) rank: Rank,
     pub(crate) version: ConfigVersion,
+    /// Tells this request from others, also when it comes again.
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived: Time,
     /// When the caller gets its final answer at the latest.
     pub(crate) until: Time,
@@ -75,7 +78,11 @@
             .as_ref()
             .and_then(|(_, rank)| *rank)
             .unwrap_or(route.rank);
+        let caller = organisation.as_ref().map_or("", |(id, _)| id.as_str());
+        let subject = format!("{caller} {}", request.target);
+        let fingerprint = Fingerprint::of(request.method.as_str(), &subject, &request.body);
         Self {
+            fingerprint,
             request: Rc::new(request),
             service,
             organisation: organisation.map(|(id, _)| id),
@@ -147,7 +154,7 @@
     /// Sends a request, and elsewhere as far as that is allowed, until an
     /// endpoint begins an answer for it.
     pub(crate) async fn open(
-        &self,
+        self: &Rc<Self>,
         job: &Job,
         resume: Option<Resume>,
         made: TokenCount,
@@ -171,7 +178,10 @@
             job.sent.set(job.sent.get() + 1);
             let sent_before = job.may_have_run.replace(true);
             let sent_at = self.now();
-            let reply = self.endpoints.send(self.call(job, &permit, resume.clone())).await;
+            let reply = self
+                .endpoints
+                .send(self.call(job, &permit, resume.clone()))
+                .await;
             let took_ms = self.now().since(sent_at).as_ms();
             let never_arrived = |why: String| {
                 job.may_have_run.set(sent_before);
@@ -189,10 +199,13 @@
                     }
                     continue;
                 }
-                Err(SendError::Unknown(why)) => {
-                    permit.ending(Ending::Unreached);
-                    job.note(format!("{endpoint} broke off after {took_ms} ms: {why}"));
-                    if job.route.repeatable() && job.may_repeat(self) {
+                Err(error @ (SendError::Unknown(_) | SendError::Crossed(_))) => {
+                    permit.ending(match error {
+                        SendError::Crossed(_) => Ending::Failed,
+                        SendError::Unknown(_) | SendError::NotSent(_) => Ending::Unreached,
+                    });
+                    job.note(format!("{endpoint} after {took_ms} ms: {error}"));
+                    if self.may_run_again(job, &permit).await {
                         continue;
                     }
                     return Err(job.refuse(RefusalReason::EndpointFailed, None));
@@ -218,8 +231,7 @@
                 }
                 Attestation::Ran | Attestation::Nothing => {
                     let status = reply.status;
-                    let hollow =
-                        status.is_success() && reply.attestation == Attestation::Nothing;
+                    let hollow = status.is_success() && reply.attestation == Attestation::Nothing;
                     job.note(format!("{endpoint} answered {status} in {took_ms} ms"));
                     if !status.is_server_error() && !hollow {
                         return Ok(Opened { reply, permit });
@@ -237,6 +249,16 @@
         }
     }
 
+    /// Whether a request that broke off at this place may run once more.
+    pub(crate) async fn may_run_again(self: &Rc<Self>, job: &Job, permit: &Permit) -> bool {
+        if !job.route.repeatable() {
+            poison::suspect_later(self, &permit.place, job.fingerprint);
+            return false;
+        }
+        poison::suspect(self, &permit.place, job.fingerprint).await;
+        !self.poison.refuses(job.fingerprint) && job.may_repeat(self)
+    }
+
     pub(crate) fn call(&self, job: &Job, permit: &Permit, resume: Option<Resume>) -> Call {
         Call {
             request: Rc::clone(&job.request),
@@ -263,7 +285,7 @@
     }
 
     /// Serves a request whose answer is passed on whole.
-    pub(crate) async fn serve_whole(&self, job: &Job) -> Result<Answer, Refusal> {
+    pub(crate) async fn serve_whole(self: &Rc<Self>, job: &Job) -> Result<Answer, Refusal> {
         let first = std::pin::pin!(self.whole_once(job));
         if !job.route.repeatable() {
             return first.await;
@@ -286,7 +308,7 @@
         }
     }
 
-    async fn whole_once(&self, job: &Job) -> Result<Answer, Refusal> {
+    async fn whole_once(self: &Rc<Self>, job: &Job) -> Result<Answer, Refusal> {
         loop {
             let Opened { reply, permit } = self.open(job, None, TokenCount::ZERO).await?;
             let status = reply.status;
@@ -294,6 +316,7 @@
                 Ok(body) => {
                     if !status.is_server_error() {
                         permit.ending(Ending::Good);
+                        self.poison.clear(job.fingerprint);
                     }
                     let took = self.now().since(job.arrived);
                     self.counters.ended("answered");
@@ -308,7 +331,7 @@
                 Err(Broken) => {
                     permit.ending(Ending::Failed);
                     job.note("its answer broke off".into());
-                    if !(job.route.repeatable() && job.may_repeat(self)) {
+                    if !self.may_run_again(job, &permit).await {
                         return Err(job.refuse(RefusalReason::EndpointFailed, None));
                     }
                 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -9,6 +9,7 @@
 use lentil_catalog::Catalog;
 use lentil_core::Time;
 use lentil_fleet::EngineReport;
+use lentil_poison::Rumour;
 use lentil_shell::{BootClock, Duty, DutyError, Inbox, Outbox, ring, spawn_io};
 use thiserror::Error;
 use tokio::task::JoinHandle;
@@ -45,6 +46,8 @@
         address: SocketAddr,
         report: EngineReport,
     },
+    /// Requests that crash endpoints.
+    Rumours(Vec<Rumour>),
     /// The store did not answer.
     StoreFailed,
 }
@@ -200,7 +203,9 @@
 
 impl Services {
     fn of(catalog: &Catalog) -> Self {
-        let engines = catalog.services().filter(|service| service.engine.is_some());
+        let engines = catalog
+            .services()
+            .filter(|service| service.engine.is_some());
         Self(engines.map(|service| service.name.clone()).collect())
     }
 }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -101,6 +101,9 @@
     /// It may have run.
     #[error("no answer: {0}")]
     Unknown(String),
+    /// What came answers another request; this one may have run.
+    #[error("a crossed answer: {0}")]
+    Crossed(String),
 }
 
 /// An order to copy a running generation's memory.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -55,10 +55,7 @@
 }
 
 async fn put(outbox: &Outbox<Update>, address: SocketAddr, report: EngineReport) -> bool {
-    outbox
-        .put(Update::Report { address, report })
-        .await
-        .is_ok()
+    outbox.put(Update::Report { address, report }).await.is_ok()
 }
 
 /// Listens until the observer is lost, or nobody takes updates any more.
@@ -93,6 +90,13 @@
             .await
             .map_err(|_| unavailable("it is silent".into()))??
             .ok_or_else(|| unavailable("it ended".into()))?;
+        if !message.rumours.is_empty() {
+            let rumours = message.rumours.iter();
+            let rumours = rumours.filter_map(|text| text.parse().ok()).collect();
+            if outbox.put(Update::Rumours(rumours)).await.is_err() {
+                return Ok(());
+            }
+        }
         if let Some(report) = read(options.clock, &message)
             && !put(outbox, target.engine, report).await
         {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,12 +9,12 @@
 
 use lentil_catalog::{Catalog, InForce, Replaced, Route, RouteKind};
 use lentil_core::{
-    ConfigVersion, NotRunProof, OrganisationId, Outcome, Refusal, RefusalReason, ServiceName,
-    Span, Time, TokenCount, ZoneId,
+    ConfigVersion, NotRunProof, OrganisationId, Outcome, Refusal, RefusalReason, ServiceName, Span,
+    Time, TokenCount, ZoneId,
 };
 use lentil_fleet::{
-    BudgetBounds, Change, Ending, Fleet, FleetBounds, GenerationNeed, Nearness, Need, Place, Placement,
-    RetryBudget,
+    BudgetBounds, Change, Ending, Fleet, FleetBounds, GenerationNeed, Nearness, Need, Place,
+    Placement, RetryBudget,
 };
 use lentil_shell::BootClock;
 use tokio::sync::Notify;
@@ -26,6 +26,7 @@
 use crate::line::Line;
 use crate::metrics::Counters;
 use crate::mover;
+use crate::poison::Poison;
 use crate::readiness::Readiness;
 use crate::relay;
 use crate::request::{Answer, Inbound};
@@ -90,6 +91,7 @@
     wake: Rc<Notify>,
     pub(crate) runs: Rc<Runs>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    pub(crate) poison: Poison,
     readiness: Cell<Readiness>,
     store_failed_at: Cell<Option<Time>>,
 }
@@ -151,6 +153,7 @@
             wake: Rc::default(),
             runs: Rc::default(),
             budgets: RefCell::default(),
+            poison: Poison::default(),
             readiness: Cell::default(),
             store_failed_at: Cell::default(),
         })
@@ -162,9 +165,14 @@
         &self.name
     }
 
+    /// The observer beside an engine.
+    pub(crate) fn observer(&self, engine: SocketAddr) -> SocketAddr {
+        SocketAddr::new(engine.ip(), self.observer_port)
+    }
+
     /// Turns on the link of an engine.
     pub(crate) fn turns_at(&self, engine: SocketAddr) -> Turns {
-        Turns::new(engine, SocketAddr::new(engine.ip(), self.observer_port))
+        Turns::new(engine, self.observer(engine))
     }
 
     /// The present.
@@ -219,10 +227,7 @@
     fn pump(&self) {
         let now = self.now();
         let mut line = self.line.borrow_mut();
-        line.pump(|need, tried| match self.try_place(now, need, tried) {
-            Ok(permit) => Some(permit),
-            Err(_) => None,
-        });
+        line.pump(|need, tried| self.try_place(now, need, tried).ok());
         let waiting = i64::try_from(line.len()).unwrap_or(i64::MAX);
         self.counters.waiting.set(waiting);
         let running = i64::try_from(self.runs.len()).unwrap_or(i64::MAX);
@@ -275,6 +280,7 @@
                 let change = self.fleet.borrow_mut().report(now, address, report);
                 self.react(change);
             }
+            Update::Rumours(rumours) => self.poison.hear(now, &rumours),
             Update::StoreFailed => self.store_failed_at.set(Some(now)),
         }
         self.wake.notify_one();
@@ -320,6 +326,19 @@
         }
     }
 
+    /// Observers of some listed engines.
+    pub(crate) fn some_observers(&self, most: usize) -> Vec<SocketAddr> {
+        let addresses = self.fleet.borrow().addresses();
+        let engines = addresses.into_iter().filter(|(service, _)| {
+            self.catalog()
+                .is_some_and(|catalog| catalog.service(service).is_some_and(|s| s.engine.is_some()))
+        });
+        engines
+            .map(|(_, engine)| self.observer(engine))
+            .take(most)
+            .collect()
+    }
+
     /// Whether an engine of this service can hand its runs to another.
     pub(crate) fn moves(&self, service: &ServiceName) -> bool {
         self.catalog()
@@ -384,9 +403,8 @@
         until: Time,
     ) -> Result<Permit, Refusal> {
         let now = self.now();
-        let refuse = |reason| {
-            Refusal::not_run(NotRunProof::NeverSent, reason).retry_after(RETRY_SOON)
-        };
+        let refuse =
+            |reason| Refusal::not_run(NotRunProof::NeverSent, reason).retry_after(RETRY_SOON);
         let held_up = self.line.borrow().holds_up(&need.service, job.rank);
         if !held_up {
             match self.try_place(now, &need, tried) {
@@ -409,7 +427,11 @@
 
     /// Whether what is in force may be relied on for this caller now.
     pub(crate) fn may_rely(&self, organisation: Option<&OrganisationId>) -> Result<(), Refusal> {
-        let lapsed = self.in_force.borrow().relied_on_until().has_passed(self.now());
+        let lapsed = self
+            .in_force
+            .borrow()
+            .relied_on_until()
+            .has_passed(self.now());
         if organisation.is_some() && lapsed {
             let reason = RefusalReason::LogUnavailable;
             return Err(
@@ -422,8 +444,7 @@
     /// Finds route and organisation of a request.
     fn admit(&self, inbound: Inbound, arrived: Time) -> Result<Job, Refusal> {
         let never = |reason| Refusal::not_run(NotRunProof::NeverSent, reason);
-        let unknown_yet =
-            || never(RefusalReason::LogUnavailable).retry_after(RETRY_ELSEWHERE);
+        let unknown_yet = || never(RefusalReason::LogUnavailable).retry_after(RETRY_ELSEWHERE);
         let in_force = self.in_force.borrow();
         let catalog = in_force.catalog().ok_or_else(unknown_yet)?;
         let lapsed = in_force.relied_on_until().has_passed(self.now());
@@ -477,6 +498,11 @@
             }
         };
         self.with_budget(&job.service, RetryBudget::earn);
+        if self.poison.refuses(job.fingerprint) {
+            self.counters.ended("refused");
+            job.log_end(&self, "refused: it crashes the endpoints that run it");
+            return Answer::Refused(job.refuse(RefusalReason::Poison, None));
+        }
         let until = self.instant(job.until);
         let served = match job.route.kind {
             RouteKind::Streaming => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod mover;
 mod observer;
+mod poison;
 mod pool;
 mod readiness;
 mod relay;
@@ -34,7 +35,8 @@
 pub use control::{Control, ControlError, ControlOptions, Directories};
 pub use directory::{Changes, Directory, DirectoryError, EndpointChanges, Orders};
 pub use endpoints::{
-    Attestation, Call, Copied, CopyError, CopyOrder, Endpoints, InspectError, Memory, Reply, Resume, SendError,
+    Attestation, Call, Copied, CopyError, CopyOrder, Endpoints, InspectError, Memory, Reply,
+    Resume, SendError,
 };
 pub use events::{Event, EventSplitter, SplitError};
 pub use gateway::{Gateway, GatewayBounds, GatewayOptions};
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -107,7 +107,9 @@
                     open,
                 ));
             }
-            Ok(_) => log::warn!(open = connections.open(); "a connection beyond the limit is closed"),
+            Ok(_) => {
+                log::warn!(open = connections.open(); "a connection beyond the limit is closed");
+            }
             Err(error) => {
                 log::warn!("a connection was not accepted: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -70,8 +70,16 @@
         registry.register("waiting", "Requests that wait for a place", waiting.clone());
         registry.register("running", "Streams that run", running.clone());
         registry.register("catalog_version", "Version in force", version.clone());
-        registry.register("first_seconds", "Time to an answer or its first event", first_s.clone());
-        registry.register("pause_seconds", "Longest pause of each stream", pause_s.clone());
+        registry.register(
+            "first_seconds",
+            "Time to an answer or its first event",
+            first_s.clone(),
+        );
+        registry.register(
+            "pause_seconds",
+            "Longest pause of each stream",
+            pause_s.clone(),
+        );
         Self {
             registry: Arc::new(Mutex::new(registry)),
             ended,
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -2,14 +2,15 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::stream::BoxStream;
 use lentil_core::Time;
 use lentil_fleet::{EngineReport, EngineStage};
+use lentil_poison::{Limits, Suspects};
 use lentil_shell::{BootClock, Duty, DutyError, spawn_io};
 use lentil_wire::v1;
 use lentil_wire::v1::observer_server::{Observer as ObserverService, ObserverServer};
@@ -78,14 +79,16 @@
         let listener = std::net::TcpListener::bind(address).map_err(listen)?;
         listener.set_nonblocking(true).map_err(listen)?;
         let (reports, latest) = watch::channel(v1::EngineReport::default());
-        let followers = Arc::new(AtomicU32::new(0));
-        let counted = Arc::clone(&followers);
-        let engine = spawn_io("engine", move || {
-            ask(options, engines(), reports, counted)
-        })?;
+        let shared = Shared {
+            followers: Arc::new(AtomicU32::new(0)),
+            suspects: Arc::new(Mutex::new(Suspects::new(Limits::default()))),
+        };
+        let asking = shared.clone();
+        let engine = spawn_io("engine", move || ask(options, engines(), reports, asking))?;
         let service = Service {
+            clock: options.clock,
             latest,
-            followers,
+            shared,
             link: Arc::new(Semaphore::new(1)),
         };
         let gateways = spawn_io("gateways", move || serve(listener, service))?;
@@ -101,7 +104,7 @@
     options: ObserverOptions,
     engines: Rc<dyn Endpoints>,
     reports: watch::Sender<v1::EngineReport>,
-    followers: Arc<AtomicU32>,
+    shared: Shared,
 ) {
     let mut reachable = None;
     loop {
@@ -119,7 +122,8 @@
             log::info!(engine:% = options.engine, reachable = report.reachable; "engine seen");
             reachable = Some(report.reachable);
         }
-        report.followers = followers.load(Ordering::Relaxed);
+        report.followers = shared.followers.load(Ordering::Relaxed);
+        report.rumours = shared.rumours(now);
         reports.send_if_modified(|before| {
             if report.leaving != before.leaving {
                 log::info!(engine:% = options.engine, leaving = report.leaving, gone_in_ms:? = report.gone_in_ms; "engine's stage changed");
@@ -147,6 +151,7 @@
         memory_used_tokens: report.memory_used.get(),
         memory_total_tokens: report.memory_total.get(),
         followers: 0,
+        rumours: Vec::new(),
     }
 }
 
@@ -170,9 +175,36 @@
     }
 }
 
+/// What both threads use.
+#[derive(Clone)]
+struct Shared {
+    followers: Arc<AtomicU32>,
+    suspects: Arc<Mutex<Suspects>>,
+}
+
+impl Shared {
+    /// What gateways should hear of requests that crash endpoints.
+    fn rumours(&self, now: Time) -> Vec<String> {
+        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        suspects.expire(now);
+        suspects.rumours().iter().map(ToString::to_string).collect()
+    }
+
+    fn accuse(&self, now: Time, rumours: &[String]) {
+        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        for text in rumours {
+            match text.parse() {
+                Ok(rumour) => suspects.on_rumour(now, &rumour),
+                Err(error) => log::warn!(text = text.as_str(); "a rumour was passed over: {error}"),
+            }
+        }
+    }
+}
+
 struct Service {
+    clock: BootClock,
     latest: watch::Receiver<v1::EngineReport>,
-    followers: Arc<AtomicU32>,
+    shared: Shared,
     /// The engine's link for copies; turns are granted in order.
     link: Arc<Semaphore>,
 }
@@ -188,6 +220,15 @@
 
 #[tonic::async_trait]
 impl ObserverService for Service {
+    async fn accuse(
+        &self,
+        request: Request<v1::AccuseRequest>,
+    ) -> Result<Response<v1::AccuseReply>, Status> {
+        let rumours = request.into_inner().rumours;
+        self.shared.accuse(self.clock.now(), &rumours);
+        Ok(Response::new(v1::AccuseReply {}))
+    }
+
     type HoldLinkStream = BoxStream<'static, Result<v1::LinkGranted, Status>>;
 
     async fn hold_link(
@@ -203,7 +244,9 @@
         let held = turn.flat_map(move |turn| {
             log::debug!(gateway = entry.as_str(); "a gateway has the link");
             let granted = futures_util::stream::once(std::future::ready(
-                turn.as_ref().map(|_| v1::LinkGranted {}).map_err(Clone::clone),
+                turn.as_ref()
+                    .map(|_| v1::LinkGranted {})
+                    .map_err(Clone::clone),
             ));
             let end = futures_util::stream::once(async move {
                 let _turn = turn;
@@ -223,14 +266,15 @@
     ) -> Result<Response<Self::FollowStream>, Status> {
         let entry = request.into_inner().entry;
         log::info!(gateway = entry.as_str(); "a gateway follows");
-        self.followers.fetch_add(1, Ordering::Relaxed);
-        let follower = Follower(Arc::clone(&self.followers));
+        self.shared.followers.fetch_add(1, Ordering::Relaxed);
+        let follower = Follower(Arc::clone(&self.shared.followers));
         let state = (self.latest.clone(), follower, None);
-        let reports = futures_util::stream::unfold(state, |(mut latest, follower, sent)| async move {
-            let report = next_report(&mut latest, sent.as_ref()).await?;
-            let message = report.clone();
-            Some((Ok(message), (latest, follower, Some(report))))
-        });
+        let reports =
+            futures_util::stream::unfold(state, |(mut latest, follower, sent)| async move {
+                let report = next_report(&mut latest, sent.as_ref()).await?;
+                let message = report.clone();
+                Some((Ok(message), (latest, follower, Some(report))))
+            });
         Ok(Response::new(reports.boxed()))
     }
 }
@@ -250,6 +294,7 @@
         let report = latest.borrow_and_update().clone();
         let staged = report.leaving != sent.leaving
             || report.reachable != sent.reachable
+            || report.rumours != sent.rumours
             || report.born_ms != sent.born_ms;
         if staged || elapsed >= REPEAT || (elapsed >= LOAD_PAUSE && report != *sent) {
             return Some(report);
@@ -260,9 +305,8 @@
             REPEAT
         };
         let pause = next.saturating_sub(elapsed);
-        match tokio::time::timeout(pause, latest.changed()).await {
-            Ok(Err(_)) => return None,
-            Ok(Ok(())) | Err(_) => {}
+        if let Ok(Err(_)) = tokio::time::timeout(pause, latest.changed()).await {
+            return None;
         }
     }
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -164,9 +164,8 @@
         let mut idle = self.shared.idle.borrow_mut();
         let connections = idle.get_mut(&peer)?;
         let now = Instant::now();
-        connections.retain(|connection| {
-            connection.usable_until > now && connection.sender.is_ready()
-        });
+        connections
+            .retain(|connection| connection.usable_until > now && connection.sender.is_ready());
         // The longest rested one is first.
         let first = connections.front()?;
         let rested = now.saturating_duration_since(first.idle_since);
@@ -200,7 +199,12 @@
         Ok(self.receive(peer, connection, answer))
     }
 
-    fn receive(&self, peer: SocketAddr, connection: Connection, answer: Response<Incoming>) -> Taken {
+    fn receive(
+        &self,
+        peer: SocketAddr,
+        connection: Connection,
+        answer: Response<Incoming>,
+    ) -> Taken {
         let (head, body) = answer.into_parts();
         let keep = keep_for(&head.headers);
         let state = Some((body, connection, self.clone()));
@@ -268,7 +272,12 @@
     let failed = |reason: String| PoolError::NotSent { peer, reason };
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer))
         .await
-        .map_err(|_| failed(format!("no connection within {} ms", CONNECT_TIMEOUT.as_millis())))?
+        .map_err(|_| {
+            failed(format!(
+                "no connection within {} ms",
+                CONNECT_TIMEOUT.as_millis()
+            ))
+        })?
         .map_err(|error| failed(error.to_string()))?;
     watch_peer(&stream).map_err(|error| failed(error.to_string()))?;
     let (sender, driver) = Builder::new()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -160,6 +160,7 @@
                 After::GoesOn => {}
                 After::Complete => {
                     self.end = Some("complete");
+                    self.gateway.poison.clear(self.job.fingerprint);
                     self.permit.ending(Ending::Good);
                     return None;
                 }
@@ -230,7 +231,8 @@
         if !broke {
             return After::Complete;
         }
-        if !self.job.route.repeatable() || !self.job.may_repeat(&self.gateway) {
+        let again = self.gateway.may_run_again(&self.job, &self.permit).await;
+        if !again {
             return After::Lost;
         }
         self.resume().await
@@ -277,10 +279,7 @@
             memory: None,
         };
         self.job.excludes(self.permit.place.endpoint.clone());
-        let opened = self
-            .gateway
-            .open(&self.job, Some(resume), self.made)
-            .await;
+        let opened = self.gateway.open(&self.job, Some(resume), self.made).await;
         match opened {
             Ok(opened) if opened.reply.status.is_success() => {
                 self.take_over(opened.permit, opened.reply.body);
@@ -290,11 +289,7 @@
         }
     }
 
-    fn take_over(
-        &mut self,
-        permit: Permit,
-        body: LocalBoxStream<'static, Result<Bytes, Broken>>,
-    ) {
+    fn take_over(&mut self, permit: Permit, body: LocalBoxStream<'static, Result<Bytes, Broken>>) {
         self.ticket.run.place.replace(permit.place.clone());
         permit.progress(self.made);
         self.permit = permit;
--- a/crates/lentiltray/src/command/gateway.rs
+++ b/crates/lentiltray/src/command/gateway.rs
@@ -118,26 +118,27 @@
     connections: Rc<Connections>,
 }
 
-async fn listen(
-    site: Site,
-    stage: watch::Receiver<Stage>,
-) -> eyre::Result<tokio::task::JoinHandle<()>> {
+/// A listener that accepts connections.
+struct Serving {
+    bound: SocketAddr,
+    task: tokio::task::JoinHandle<()>,
+}
+
+async fn listen(site: Site, stage: watch::Receiver<Stage>) -> eyre::Result<Serving> {
     let listener = TcpListener::bind(site.address)
         .await
         .with_context(|| format!("listening at {}", site.address))?;
+    let bound = listener.local_addr().context("reading a bound address")?;
     let served = serve(listener, site.handler, site.connections, stage);
-    Ok(tokio::task::spawn_local(served))
+    let task = tokio::task::spawn_local(served);
+    Ok(Serving { bound, task })
 }
 
 fn pages() -> Rc<Connections> {
     Rc::new(Connections::new(PAGES_MAX, IDLE_DEFAULT))
 }
 
-async fn run(
-    node: Node,
-    settings: lentil_settings::Gateway,
-    path: PathBuf,
-) -> eyre::Result<()> {
+async fn run(node: Node, settings: lentil_settings::Gateway, path: PathBuf) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("listening to SIGTERM")?;
     let mut hangup = signal(SignalKind::hangup()).context("listening to SIGHUP")?;
     let clock = BootClock::start();
@@ -163,20 +164,27 @@
         handler: Rc::new(ReadinessPage::new(Rc::clone(&gateway))),
         connections: pages(),
     };
-    listen(readiness, pages_stage.clone()).await?;
+    let readiness = listen(readiness, pages_stage.clone()).await?;
     let metrics = Site {
         address: settings.metrics,
         handler: Rc::new(MetricsPage::new(counters)),
         connections: pages(),
     };
-    listen(metrics, pages_stage).await?;
+    let metrics = listen(metrics, pages_stage).await?;
     let callers = Site {
         address: settings.callers,
         handler: Rc::new(Callers::new(Rc::clone(&gateway), Rc::clone(&connections))),
         connections,
     };
     let serving = listen(callers, seen).await?;
-    log::info!(name = node.name.as_str(), zone:% = node.zone, callers:% = settings.callers; "gateway started");
+    log::info!(
+        name = node.name.as_str(),
+        zone:% = node.zone,
+        callers:% = serving.bound,
+        readiness:% = readiness.bound,
+        metrics:% = metrics.bound;
+        "gateway started"
+    );
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -184,12 +192,13 @@
         }
     }
     log::info!(name = node.name.as_str(), connections_drain_ms = NOTICE.as_millis(); "gateway stops");
-    let end = tokio::time::Instant::now() + Duration::from(settings.grace).saturating_sub(END_MARGIN);
+    let end =
+        tokio::time::Instant::now() + Duration::from(settings.grace).saturating_sub(END_MARGIN);
     gateway.stop();
     stage.send_replace(Stage::Draining);
     tokio::time::sleep(NOTICE).await;
     stage.send_replace(Stage::Closing);
-    match tokio::time::timeout_at(end, serving).await {
+    match tokio::time::timeout_at(end, serving.task).await {
         Ok(_) => log::info!("gateway ended; no request was cut"),
         Err(_) => log::warn!("gateway ends; requests outlast its grace"),
     }
--- /dev/null
+++ b/crates/lentiltray/tests/it/moved_streams.rs
@@ -0,0 +1,133 @@
+//! Running generations that are moved off an engine that leaves.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::platform_site::{Replica, Site, signed, write};
+use crate::standin_http::{After, Request, chunk, framed};
+
+/// Time between two events of the stand-in.
+const EVENT_GAP: Duration = Duration::from_millis(40);
+/// Events of a whole stream.
+const EVENTS: u64 = 60;
+
+/// An engine that can leave: it streams until it is told to stop a run.
+fn engine(name: &str, leaving: &Arc<AtomicBool>, moves: bool) -> Replica {
+    let leaving = Arc::clone(leaving);
+    let stopped = Arc::new(AtomicBool::new(false));
+    Replica::start(name, move |request, stream| {
+        match (request.method.as_str(), request.target.as_str()) {
+            ("GET", "/v1/report") => write(stream, &report(leaving.load(Ordering::SeqCst))),
+            ("POST", "/v1/kv-move") => {
+                let order: Value = serde_json::from_slice(&request.body).unwrap();
+                assert_eq!(order["id"], "r1");
+                if !moves {
+                    return write(stream, &framed(404, "", b"{}"));
+                }
+                if order["last"] == true {
+                    stopped.store(true, Ordering::SeqCst);
+                }
+                write(stream, &framed(200, "", br#"{"handle":"h7","created":3}"#))
+            }
+            _ => generate(request, stream, &stopped),
+        }
+    })
+}
+
+fn report(leaving: bool) -> Vec<u8> {
+    let mut report = json!({"stage": "combined", "models": [], "busy": false, "sequence": 1,
+        "waiting": 0, "running": 1, "kvUsed": 400, "kvTotal": 34000, "handles": 0,
+        "state": "ready", "born": 7});
+    if leaving {
+        report["state"] = json!("draining");
+        report["leaves_ms"] = json!(1700);
+    }
+    framed(200, "", report.to_string().as_bytes())
+}
+
+fn generate(request: &Request, stream: &mut std::net::TcpStream, stopped: &AtomicBool) -> After {
+    let first = request
+        .header("last-event-id")
+        .map_or(0, |last| last.parse::<u64>().unwrap() + 1);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\n{}Transfer-Encoding: chunked\r\n\r\n",
+        signed(request)
+    );
+    write(stream, head.as_bytes());
+    for number in first..EVENTS {
+        if stopped.load(Ordering::SeqCst) {
+            // Broken off within an event, as an engine that stops may.
+            write(stream, &chunk(&format!("id: {number}\nda")));
+            return After::Close;
+        }
+        write(stream, &chunk(&format!("id: {number}\ndata: {number}\n\n")));
+        std::thread::sleep(EVENT_GAP);
+    }
+    write(stream, b"0\r\n\r\n")
+}
+
+fn whole() -> String {
+    (0..EVENTS)
+        .map(|number| format!("id: {number}\ndata: {number}\n\n"))
+        .collect()
+}
+
+/// Lets the engine that took the request leave, and gives the answer.
+fn leave_during(test: &str, moves: bool) -> (crate::standin_http::Got, Vec<Request>) {
+    let flags = [
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicBool::new(false)),
+    ];
+    let engines = [
+        engine("i-1", &flags[0], moves),
+        engine("i-2", &flags[1], moves),
+    ];
+    let site = Site::start(test, &[(&engines[0], "writers"), (&engines[1], "writers")]);
+    let mut line = site.line();
+    let got = std::thread::scope(|scope| {
+        let caller = scope.spawn(move || {
+            let head = crate::platform_site::head("/report/a", "r1", "");
+            line.send(&head.replace("2500", "9000"), "hello");
+            line.receive().unwrap()
+        });
+        crate::platform_site::until("an engine has it", || {
+            engines.iter().any(|engine| !engine.requests().is_empty())
+        });
+        std::thread::sleep(Duration::from_millis(200));
+        let first = usize::from(engines[0].requests().is_empty());
+        flags[first].store(true, Ordering::SeqCst);
+        caller.join().unwrap()
+    });
+    let requests = [engines[0].requests(), engines[1].requests()].concat();
+    (got, requests)
+}
+
+/// The caller gets each event once and in order, from two engines, and the
+/// second goes on from the first one's memory.
+#[test]
+fn moved_whole() {
+    let (got, requests) = leave_during("moved_whole", true);
+    assert_eq!(got.body, whole());
+    assert!(got.whole);
+    assert_eq!(got.header("response-signature"), Some("s.r1"));
+    assert_eq!(requests.len(), 2);
+    let moved = requests
+        .iter()
+        .find(|request| request.header("kv-from").is_some())
+        .unwrap();
+    let from = moved.header("kv-from").unwrap();
+    assert!(from.ends_with("/h7"), "{from}");
+    assert!(moved.header("last-event-id").is_some());
+}
+
+/// A run that the engine no longer knows has ended by itself.
+#[test]
+fn ended_in_place() {
+    let (got, requests) = leave_during("ended_in_place", false);
+    assert_eq!(got.body, whole());
+    assert!(got.whole);
+    assert_eq!(requests.len(), 1);
+}
--- a/crates/lentiltray/tests/it/process.rs
+++ b/crates/lentiltray/tests/it/process.rs
@@ -26,13 +26,13 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_lentiltray"))
             .args([role, "--settings"])
             .arg(file)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let stderr = BufReader::new(child.stderr.take().unwrap());
+        let stdout = BufReader::new(child.stdout.take().unwrap());
         let (sender, lines) = channel();
         std::thread::spawn(move || {
-            for line in stderr.lines().map_while(Result::ok) {
+            for line in stdout.lines().map_while(Result::ok) {
                 let _ = sender.send(serde_json::from_str(&line).unwrap_or(Value::String(line)));
             }
         });
--- /dev/null
+++ b/crates/lentiltray/tests/it/standin_store.rs
@@ -0,0 +1,163 @@
+//! A stand-in for the platform's log, with its failures.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::standin_http::{After, Request, Server, framed};
+
+/// How the store treats its callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) enum Mood {
+    #[default]
+    Serving,
+    /// It accepts requests and says nothing.
+    Silent,
+    /// It refuses with this status.
+    Refusing(u16),
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    first: usize,
+    records: Vec<(String, Vec<u8>)>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    topics: BTreeMap<String, Topic>,
+    mood: Mood,
+    calls: usize,
+}
+
+/// A running store.
+pub(crate) struct Store {
+    state: Arc<Mutex<State>>,
+    server: Server,
+}
+
+impl Store {
+    pub(crate) fn start() -> Self {
+        let state = Arc::new(Mutex::new(State::default()));
+        let handler = {
+            let state = Arc::clone(&state);
+            move |request: &Request, stream: &mut TcpStream| serve(&state, request, stream)
+        };
+        Self {
+            state,
+            server: Server::start(Arc::new(handler)),
+        }
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    pub(crate) fn set_mood(&self, mood: Mood) {
+        self.state.lock().unwrap().mood = mood;
+    }
+
+    pub(crate) fn calls(&self) -> usize {
+        self.state.lock().unwrap().calls
+    }
+
+    /// Writes a record; without a value its key is dropped.
+    pub(crate) fn put(&self, topic: &str, key: &str, value: Option<&Value>) {
+        let bytes = value.map_or_else(Vec::new, |value| value.to_string().into_bytes());
+        self.put_bytes(topic, key, bytes);
+    }
+
+    pub(crate) fn put_bytes(&self, topic: &str, key: &str, bytes: Vec<u8>) {
+        let mut state = self.state.lock().unwrap();
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        topic.records.push((key.to_owned(), bytes));
+    }
+
+    /// Deletes all records; the newest of each key stays.
+    pub(crate) fn compact(&self, topic: &str) {
+        let mut state = self.state.lock().unwrap();
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        topic.first = topic.records.len();
+    }
+}
+
+fn serve(state: &Mutex<State>, request: &Request, stream: &mut TcpStream) -> After {
+    let mood = {
+        let mut state = state.lock().unwrap();
+        state.calls += 1;
+        state.mood
+    };
+    let bytes = match mood {
+        Mood::Silent => {
+            std::thread::sleep(Duration::from_secs(30));
+            return After::Close;
+        }
+        Mood::Refusing(status) => framed(status, "", b""),
+        Mood::Serving => answer(state, request),
+    };
+    match stream.write_all(&bytes) {
+        Ok(()) => After::Open,
+        Err(_) => After::Close,
+    }
+}
+
+fn answer(state: &Mutex<State>, request: &Request) -> Vec<u8> {
+    let topic = request.query("topic").unwrap_or("");
+    if request.target.starts_with("/v1/log-newest") {
+        return framed(200, "", newest(state, topic).to_string().as_bytes());
+    }
+    let from: usize = request.query("from").unwrap().parse().unwrap();
+    let wait_ms = request.query("waitMs").unwrap_or("0").parse().unwrap();
+    let until = Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        if let Some(bytes) = read(state, topic, from, Instant::now() >= until) {
+            return bytes;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn newest(state: &Mutex<State>, topic: &str) -> Value {
+    use base64::Engine;
+    let mut state = state.lock().unwrap();
+    let topic = state.topics.entry(topic.to_owned()).or_default();
+    let mut items = BTreeMap::new();
+    for (offset, (key, value)) in topic.records.iter().enumerate() {
+        items.insert(key, (offset, value));
+    }
+    let encode = |value| base64::engine::general_purpose::STANDARD.encode(value);
+    let items: Vec<_> = items
+        .into_iter()
+        .filter(|(_, (_, value))| !value.is_empty())
+        .map(|(key, (offset, value))| json!({"key": key, "value": encode(value), "offset": offset}))
+        .collect();
+    json!({"items": items, "hasMore": false, "endOffset": topic.records.len()})
+}
+
+fn read(state: &Mutex<State>, topic: &str, from: usize, overdue: bool) -> Option<Vec<u8>> {
+    let mut state = state.lock().unwrap();
+    let topic = state.topics.entry(topic.to_owned()).or_default();
+    let end = topic.records.len();
+    if from < topic.first {
+        let body = json!({"firstOffset": topic.first}).to_string();
+        return Some(framed(410, "", body.as_bytes()));
+    }
+    if from >= end && !overdue {
+        return None;
+    }
+    let mut body = Vec::new();
+    body.extend_from_slice(&u64::try_from(end).unwrap().to_be_bytes());
+    body.extend_from_slice(&u64::try_from(topic.first).unwrap().to_be_bytes());
+    for (key, value) in topic.records.get(from..).unwrap_or(&[]) {
+        let length = u32::try_from(1 + key.len() + value.len()).unwrap();
+        body.extend_from_slice(&length.to_be_bytes());
+        body.push(u8::try_from(key.len()).unwrap());
+        body.extend_from_slice(key.as_bytes());
+        body.extend_from_slice(value);
+    }
+    Some(framed(200, "", &body))
+}
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -158,7 +158,10 @@
         };
         Ok(Self {
             name: settings.name,
-            zone: settings.zone.parse().map_err(|error: lentil_core::ParseIdError| wrong("zone", error))?,
+            zone: settings
+                .zone
+                .parse()
+                .map_err(|error: lentil_core::ParseIdError| wrong("zone", error))?,
             log_level: settings.log_level.map_or(LogLevel::Info, LogLevel::from),
             role,
         })
@@ -180,7 +183,10 @@
             revoke: Span::from_ms(bounds.revoke_ms),
             drain: millis(bounds.drain_ms),
             grace: Span::from_ms(bounds.grace_ms),
-            cold_slack_per_s: allowance("gateway.bounds.cold_slack_per_s", bounds.cold_slack_per_s)?,
+            cold_slack_per_s: allowance(
+                "gateway.bounds.cold_slack_per_s",
+                bounds.cold_slack_per_s,
+            )?,
             retry_ratio: allowance("gateway.bounds.retry_ratio", bounds.retry_ratio)?,
             retry_slack: allowance("gateway.bounds.retry_slack", bounds.retry_slack)?,
             retry_window: Span::from_ms(bounds.retry_window_ms),
