--- /dev/null
+++ b/crates/gateway/tests/it/passed_headers.rs
@@ -0,0 +1,22 @@
+//! Headers that concern one connection are not passed on.
+
+use http::HeaderMap;
+use lentil_gateway::end_to_end;
+
+#[test]
+fn named_by_connection() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("connection", "X-Hop, keep-alive"),
+        ("x-hop", "1"),
+        ("keep-alive", "timeout=5"),
+        ("transfer-encoding", "chunked"),
+        ("content-length", "4"),
+        ("x-mine", "kept"),
+    ] {
+        headers.insert(name, value.parse().unwrap());
+    }
+    let passed = end_to_end(headers);
+    let names: Vec<_> = passed.keys().map(http::HeaderName::as_str).collect();
+    assert_eq!(names, ["x-mine"]);
+}
--- a/crates/lentiltray/tests/it/lost_store.rs
+++ b/crates/lentiltray/tests/it/lost_store.rs
@@ -71,3 +71,25 @@
     }
     assert_eq!(one.requests().len(), before);
 }
+
+/// After an outage the first answer about orders is not held back, or callers
+/// would be refused longer than the store was away.
+#[test]
+fn first_answer_at_once() {
+    let desk = Replica::start("i-1", good);
+    let site = Site::start("first_answer", &[(&desk, "desk")]);
+    until("answers are held back", || {
+        site.store
+            .order_holds()
+            .last()
+            .is_some_and(|hold| *hold > 0)
+    });
+    site.store.set_mood(Mood::Refusing(503));
+    while site.gateway.wait_for_line("the store refused")["kvs"]["part"] != "orders" {}
+    let before = site.store.order_holds().len();
+    site.store.set_mood(Mood::Serving);
+    until("the store is asked again", || {
+        site.store.order_holds().len() > before
+    });
+    assert_eq!(site.store.order_holds()[before], 0);
+}
--- a/crates/lentiltray/tests/it/standin_store.rs
+++ b/crates/lentiltray/tests/it/standin_store.rs
@@ -32,6 +32,8 @@
     topics: BTreeMap<String, Topic>,
     mood: Mood,
     calls: usize,
+    /// How long reads of operators' orders were to be held back, in order.
+    order_holds: Vec<u64>,
 }
 
 /// A running store.
@@ -65,6 +67,10 @@
         self.state.lock().unwrap().calls
     }
 
+    pub(crate) fn order_holds(&self) -> Vec<u64> {
+        self.state.lock().unwrap().order_holds.clone()
+    }
+
     /// Writes a record; without a value its key is dropped.
     pub(crate) fn put(&self, topic: &str, key: &str, value: Option<&Value>) {
         let bytes = value.map_or_else(Vec::new, |value| value.to_string().into_bytes());
@@ -112,6 +118,9 @@
     }
     let from: usize = request.query("from").unwrap().parse().unwrap();
     let wait_ms = request.query("waitMs").unwrap_or("0").parse().unwrap();
+    if topic == "keyed.op" {
+        state.lock().unwrap().order_holds.push(wait_ms);
+    }
     let until = Instant::now() + Duration::from_millis(wait_ms);
     loop {
         if let Some(bytes) = read(state, topic, from, Instant::now() >= until) {
