Let a hedged lookup outlive the first endpoint's failure

Ruled out: lookups that fail at every endpoint (they fail in equal time). Change: the failure counts only if the other endpoint fails too. odd_answers::hedge_outlives_failure failed before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -301,11 +301,21 @@
         }
         job.note("hedged".into());
         let second = std::pin::pin!(self.whole_once(job));
-        match select(first, second).await {
-            Either::Left((Ok(answer), _)) | Either::Right((Ok(answer), _)) => Ok(answer),
-            Either::Left((Err(_), second)) => second.await,
-            Either::Right((Err(_), first)) => first.await,
+        let (earlier, later) = match select(first, second).await {
+            Either::Left((earlier, later)) => (earlier, Either::Left(later)),
+            Either::Right((earlier, later)) => (earlier, Either::Right(later)),
+        };
+        if served(&earlier) {
+            return earlier;
+        }
+        let later = match later {
+            Either::Left(later) => later.await,
+            Either::Right(later) => later.await,
+        };
+        if served(&later) || earlier.is_err() {
+            return later;
         }
+        earlier
     }
 
     async fn whole_once(self: &Rc<Self>, job: &Job) -> Result<Answer, Refusal> {
@@ -340,6 +350,11 @@
     }
 }
 
+/// Whether a request was served, rather than failed by its endpoint or here.
+fn served(answer: &Result<Answer, Refusal>) -> bool {
+    matches!(answer, Ok(Answer::Endpoint { status, .. }) if !status.is_server_error())
+}
+
 /// A span in seconds, for histograms.
 #[allow(clippy::cast_precision_loss)]
 pub(crate) fn seconds(span: Span) -> f64 {
--- a/crates/lentiltray/tests/it/odd_answers.rs
+++ b/crates/lentiltray/tests/it/odd_answers.rs
@@ -82,6 +82,25 @@
     }
 }
 
+/// A failure that comes while the second endpoint is still at work does not
+/// end the request.
+#[test]
+fn hedge_outlives_failure() {
+    let failing = Replica::start("i-1", |request, stream| {
+        std::thread::sleep(Duration::from_millis(200));
+        write(stream, &framed(500, &signed(request), b"no"))
+    });
+    let slow = Replica::start("i-2", |request, stream| {
+        std::thread::sleep(Duration::from_millis(400));
+        good(request, stream)
+    });
+    let site = Site::start("outlives", &[(&failing, "desk"), (&slow, "desk")]);
+    for number in 0..3 {
+        let id = format!("r{number}");
+        assert_eq!(site.call("/lookup/a", &id, "").unwrap().status, 200);
+    }
+}
+
 /// A second answer belongs to no request, also when it comes where the next
 /// answer is due.
 #[test]
