Choose among a random sample of endpoints, by the number of entries

Load pattern: many entries that place on the same late figures. Ruled out: prompts as such (23% of the engines' time), full engines (nothing waited at gateways). Change: the least loaded of a random sample whose size falls with the number of entries.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -23,6 +23,10 @@
 const DOUBT_ENDPOINTS: u32 = 2;
 /// What that doubt weighs against a full memory.
 const DOUBT_WEIGHT: f64 = 0.6;
+/// Fewest endpoints among which the least loaded is chosen.
+const SAMPLE_LEAST: usize = 2;
+/// How many times its part of the endpoints an entry chooses among.
+const SAMPLE_FACTOR: usize = 2;
 /// Entries assumed to send to an endpoint while no report tells their number.
 const ENTRIES_ASSUMED: u32 = 8;
 /// Tokens by which another entry's running generation will yet grow.
@@ -379,7 +383,7 @@
             .and_then(|catalog| catalog.service(&need.service).cloned());
         let doubtful = self.doubtful_zones(now);
         let mut alive = false;
-        let mut best: Option<(f64, EndpointId)> = None;
+        let mut fitting: Vec<(u64, f64, EndpointId)> = Vec::new();
         let ids: Vec<_> = self
             .endpoints
             .iter()
@@ -402,13 +406,10 @@
                 let doubted = doubtful.contains(&endpoint.listing.zone);
                 if doubted { DOUBT_WEIGHT } else { 0.0 }
             });
-            let score = score + doubt;
-            if best.as_ref().is_none_or(|(lowest, _)| score < *lowest) {
-                best = Some((score, id));
-            }
+            fitting.push((spread(&id, need.draw), score + doubt, id));
         }
-        match best {
-            Some((_, id)) => self.begin(now, id, need),
+        match choose(fitting, entries) {
+            Some(id) => self.begin(now, id, need),
             None if alive => Placement::Full,
             None => Placement::Nowhere,
         }
@@ -632,6 +633,20 @@
     }
 }
 
+/// The least loaded of a random sample. The more entries choose between two
+/// reports, the smaller the sample: with the same late figures they would all
+/// choose the same endpoint.
+fn choose(mut fitting: Vec<(u64, f64, EndpointId)>, entries: u32) -> Option<EndpointId> {
+    let entries = usize::try_from(entries.max(1)).unwrap_or(usize::MAX);
+    let sample = (SAMPLE_FACTOR * fitting.len() / entries).max(SAMPLE_LEAST);
+    fitting.sort_by_key(|(spread, _, _)| *spread);
+    fitting.truncate(sample);
+    fitting
+        .into_iter()
+        .min_by(|(_, one, _), (_, other, _)| one.total_cmp(other))
+        .map(|(_, _, id)| id)
+}
+
 fn count(number: usize) -> u32 {
     u32::try_from(number).unwrap_or(u32::MAX)
 }
@@ -642,11 +657,17 @@
     ((bound / f64::from(entries.max(1))).floor() as usize).max(1)
 }
 
-/// A number below [`JITTER`] that differs by endpoint and draw.
-fn jitter(id: &EndpointId, draw: u64) -> f64 {
+/// A number that differs by endpoint and draw.
+fn spread(id: &EndpointId, draw: u64) -> u64 {
     let mixed = id.as_str().bytes().fold(draw, |mixed, byte| {
         (mixed ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
     });
-    let low = u32::try_from(mixed >> 40).unwrap_or(0) & 0xffff;
+    // The low bits of such a product depend on few bytes.
+    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 16
+}
+
+/// A number below [`JITTER`] that differs by endpoint and draw.
+fn jitter(id: &EndpointId, draw: u64) -> f64 {
+    let low = u32::try_from(spread(id, draw) & 0xffff).unwrap_or(0);
     f64::from(low) / f64::from(0xffff_u32) * JITTER
 }
