--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -26,7 +26,7 @@
 /// Fewest endpoints among which the least loaded is chosen.
 const SAMPLE_LEAST: usize = 2;
 /// How many times its part of the endpoints an entry chooses among.
-const SAMPLE_FACTOR: usize = 2;
+const SAMPLE_FACTOR: usize = 4;
 /// Entries assumed to send to an endpoint while no report tells their number.
 const ENTRIES_ASSUMED: u32 = 8;
 /// Tokens by which another entry's running generation will yet grow.
