Keep copies in their zone, wait for turns to the end

Load pattern: a sixth of 48 engines leaves at once, six reports on each. Cause: gateways gave up waiting for a turn after 0.9 s and copied out of turn all at once; of a sample of six engines often none was in the leaving engine's zone, and copies to other zones take twice as long (0.43 to 0.69 s against 0.25 s). Ruled out: late notice (0.05 s), room (two refusals), the switch (11 ms). Change: a turn is waited for until 0.25 s before the end; a copy goes to another zone only if none in its own has room; the sample is drawn after.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -10,8 +10,8 @@
 use crate::endpoint::{Endpoint, EngineReport, EngineStage, Listing, Standing, ToldLoad};
 use crate::flight::{Ending, Flight, FlightId};
 use crate::place::{
-    FAILING_WEIGHT, FAR_COPY_WEIGHT, FAR_WEIGHT, GROWTH_PART, GenerationNeed, JITTER, MEMORY_FILL,
-    Nearness, Need, Place, Placement, UNREAD_FULL_TOKENS,
+    FAILING_WEIGHT, FAR_WEIGHT, GROWTH_PART, GenerationNeed, JITTER, MEMORY_FILL, Nearness, Need,
+    Place, Placement, UNREAD_FULL_TOKENS,
 };
 
 /// How long an engine's report is believed.
@@ -408,6 +408,9 @@
             });
             fitting.push((spread(&id, need.draw), score + doubt, id));
         }
+        if let Nearness::Copy(zone) = &need.near {
+            self.keep_near(zone, &mut fitting);
+        }
         match choose(fitting, entries) {
             Some(id) => self.begin(now, id, need),
             None if alive => Placement::Full,
@@ -415,6 +418,18 @@
         }
     }
 
+    /// Leaves those in one availability zone, if there are any.
+    fn keep_near(&self, zone: &ZoneId, fitting: &mut Vec<(u64, f64, EndpointId)>) {
+        let near = |id: &EndpointId| {
+            self.endpoints
+                .get(id)
+                .is_some_and(|endpoint| endpoint.listing.zone == *zone)
+        };
+        if fitting.iter().any(|(_, _, id)| near(id)) {
+            fitting.retain(|(_, _, id)| near(id));
+        }
+    }
+
     /// Other availability zones in which several endpoints could not be reached
     /// just now: this one may be cut off from them.
     fn doubtful_zones(&self, now: Time) -> BTreeSet<ZoneId> {
@@ -498,14 +513,9 @@
             Some(generation) => self.engine_load(now, id, endpoint, service, generation)?,
             None => self.service_load(now, id, endpoint, entries),
         };
-        let (near, weight) = match &need.near {
-            Nearness::Own => (&self.zone, FAR_WEIGHT),
-            Nearness::Copy(zone) => (zone, FAR_COPY_WEIGHT),
-        };
-        let far = if endpoint.listing.zone == *near {
-            0.0
-        } else {
-            weight
+        let far = match &need.near {
+            Nearness::Own if endpoint.listing.zone != self.zone => FAR_WEIGHT,
+            Nearness::Own | Nearness::Copy(_) => 0.0,
         };
         let failing = endpoint.health.failing_share() * FAILING_WEIGHT;
         Some(load + far + failing + jitter(id, need.draw))
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -17,9 +17,6 @@
 pub(crate) const FAILING_WEIGHT: f64 = 2.0;
 /// What another availability zone weighs against a full memory.
 pub(crate) const FAR_WEIGHT: f64 = 0.04;
-/// The same for a copy: the time on its source's link decides how many runs are
-/// saved.
-pub(crate) const FAR_COPY_WEIGHT: f64 = 0.3;
 /// Largest random part of a score; it keeps entries with the same figures
 /// from choosing alike.
 pub(crate) const JITTER: f64 = 0.05;
@@ -38,7 +35,9 @@
 pub enum Nearness {
     /// The entry's own: bytes between zones cost.
     Own,
-    /// That of a copy's source: a copy to another zone takes twice as long.
+    /// That of a copy's source, as long as an engine there has room: a copy to
+    /// another zone takes twice as long, and the time on its source's link
+    /// decides how many runs are saved.
     Copy(ZoneId),
 }
 
--- a/crates/fleet/tests/it/memory_forecast.rs
+++ b/crates/fleet/tests/it/memory_forecast.rs
@@ -95,19 +95,26 @@
 }
 
 /// Copies stay in their source's zone while there is room: the time on the
-/// leaving engine's link decides how many runs are saved.
+/// leaving engine's link decides how many runs are saved. The load is that of
+/// many entries, each of which sees a small sample.
 #[test]
 fn copies_stay_near() {
     let mut fleet = fleet();
     fleet.list(ms(0), listing(1));
-    let mut far = listing(2);
-    far.zone = "b".parse().unwrap();
-    fleet.list(ms(0), far);
-    fleet.report(ms(5), listing(1).address, report(4_000, 1, 4));
-    fleet.report(ms(5), listing(2).address, report(0, 0, 4));
+    fleet.report(ms(5), listing(1).address, report(20_000, 1, 26));
+    for number in 2..=30 {
+        let mut far = listing(number);
+        far.zone = "b".parse().unwrap();
+        fleet.list(ms(0), far);
+        fleet.report(ms(5), listing(number).address, report(0, 0, 26));
+    }
     let mut need = need(3_000, 500);
     need.near = Nearness::Copy("a".parse().unwrap());
     assert_eq!(placed(&fleet.place(ms(10), &need, &[])), Some(id(1)));
+    // Without room there, another zone is better than none.
+    fleet.report(ms(15), listing(1).address, report(33_000, 1, 26));
+    let elsewhere = placed(&fleet.place(ms(20), &need, &[]));
+    assert!(elsewhere.is_some_and(|chosen| chosen != id(1)));
 }
 
 /// An endpoint that can't be reached pauses and is tried again later.
--- a/crates/gateway/src/mover.rs
+++ b/crates/gateway/src/mover.rs
@@ -100,7 +100,8 @@
 
     /// Moves one run, alone on the engine's link.
     async fn take_turn(&mut self, key: RunKey, copies_first: bool) {
-        let _turn = self.turns.hold(&self.gateway).await;
+        let gone_at = self.gone_at().unwrap_or(self.leaving.gone_at);
+        let _turn = self.turns.hold(&self.gateway, gone_at).await;
         let Some(run) = self.gateway.runs.get(key) else {
             return;
         };
--- a/crates/gateway/src/turns.rs
+++ b/crates/gateway/src/turns.rs
@@ -3,15 +3,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use lentil_core::{Span, Time};
 use lentil_wire::v1;
 use lentil_wire::v1::observer_client::ObserverClient;
 use tonic::transport::{Channel, Endpoint};
 
 use crate::gateway::Gateway;
 
-/// Longest wait for a turn. An engine that leaves is gone soon, so a run is
-/// rather moved out of turn than not at all.
-const TURN_WAIT: Duration = Duration::from_millis(900);
+/// Time before an engine's end at which a run is rather moved out of turn than
+/// not at all. Those that give up earlier would only crowd the link.
+const LAST_CHANCE: Span = Span::from_ms(250);
+/// Shortest wait for a turn.
+const WAIT_LEAST: Span = Span::from_ms(30);
 /// Longest wait for a connection to an observer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -44,8 +47,10 @@
         Self { client, engine }
     }
 
-    /// Waits for a turn; `None` where none is to be had in time.
-    pub(crate) async fn hold(&mut self, gateway: &Gateway) -> Option<Turn> {
+    /// Waits for a turn while the engine is there; `None` where none is to be had
+    /// in time.
+    pub(crate) async fn hold(&mut self, gateway: &Gateway, gone_at: Time) -> Option<Turn> {
+        let until = (gone_at - LAST_CHANCE).max(gateway.now() + WAIT_LEAST);
         let client = self.client.as_mut()?;
         let request = v1::HoldLinkRequest {
             entry: gateway.name().to_owned(),
@@ -55,7 +60,7 @@
             held.message().await?;
             Ok::<_, tonic::Status>(Turn { _held: held })
         };
-        match tokio::time::timeout(TURN_WAIT, granted).await {
+        match tokio::time::timeout_at(gateway.instant(until), granted).await {
             Ok(Ok(turn)) => Some(turn),
             Ok(Err(status)) => {
                 log::info!(engine:% = self.engine; "no turn on its link: {status}");
