--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,5 +1,6 @@
 //! The thread that keeps a gateway's knowledge up to date.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -112,20 +113,22 @@
     directory: Box<dyn Directory>,
     pause: Duration,
     failing: bool,
+    entries: Rc<Cell<u32>>,
 }
 
 impl Source {
-    fn new(name: &'static str, directory: Box<dyn Directory>) -> Self {
+    fn new(name: &'static str, directory: Box<dyn Directory>, entries: &Rc<Cell<u32>>) -> Self {
         Self {
             name,
             directory,
             pause: PAUSE_FIRST,
             failing: false,
+            entries: Rc::clone(entries),
         }
     }
 
     async fn next(&mut self, outbox: &Outbox<Update>) -> Option<Changes> {
-        match self.directory.changes().await {
+        match self.directory.changes(self.entries.get()).await {
             Ok(changes) => {
                 if self.failing {
                     log::info!(part = self.name; "the store answers again");
@@ -155,10 +158,11 @@
 }
 
 async fn run(options: ControlOptions, directories: Directories, outbox: Outbox<Update>) {
+    let entries = Rc::default();
     let (engines, known) = tokio::sync::watch::channel(None);
     let orders = follow_orders(
         options.clock,
-        Source::new("orders", directories.orders),
+        Source::new("orders", directories.orders, &entries),
         outbox.clone(),
         engines,
     );
@@ -166,10 +170,11 @@
         options,
         outbox: outbox.clone(),
         engines: directories.engines,
+        entries: Rc::clone(&entries),
         tasks: HashMap::new(),
     };
     let endpoints = follow_endpoints(
-        Source::new("endpoints", directories.endpoints),
+        Source::new("endpoints", directories.endpoints, &entries),
         outbox,
         known,
         followers,
@@ -250,6 +255,8 @@
     options: ControlOptions,
     outbox: Outbox<Update>,
     engines: Rc<dyn Endpoints>,
+    /// Entries that follow the same engines, as their observers tell.
+    entries: Rc<Cell<u32>>,
     tasks: HashMap<SocketAddr, JoinHandle<()>>,
 }
 
@@ -270,6 +277,7 @@
                     follow::Target { engine, observer },
                     self.options.clone(),
                     Rc::clone(&self.engines),
+                    Rc::clone(&self.entries),
                     self.outbox.clone(),
                 ))
             });
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -58,6 +58,7 @@
 /// Follows one part of the store.
 pub trait Directory {
     /// Everything that changed since the last answer; the store may hold its
-    /// answer back for a while if nothing did.
-    fn changes(&mut self) -> LocalFuture<'_, Result<Changes, DirectoryError>>;
+    /// answer back for a while if nothing did. The more `entries` ask, the less
+    /// often each does.
+    fn changes(&mut self, entries: u32) -> LocalFuture<'_, Result<Changes, DirectoryError>>;
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,5 +1,6 @@
 //! Following one engine through its observer.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,11 +34,12 @@
     target: Target,
     options: ControlOptions,
     engines: Rc<dyn Endpoints>,
+    entries: Rc<Cell<u32>>,
     outbox: Outbox<Update>,
 ) {
     let mut lost = false;
     loop {
-        match listen(target, &options, &outbox, &mut lost).await {
+        match listen(target, &options, &entries, &outbox, &mut lost).await {
             Ok(()) => return,
             Err(status) => {
                 if !lost {
@@ -62,6 +64,7 @@
 async fn listen(
     target: Target,
     options: &ControlOptions,
+    entries: &Cell<u32>,
     outbox: &Outbox<Update>,
     lost: &mut bool,
 ) -> Result<(), tonic::Status> {
@@ -90,6 +93,7 @@
             .await
             .map_err(|_| unavailable("it is silent".into()))??
             .ok_or_else(|| unavailable("it ended".into()))?;
+        entries.set(message.followers);
         if !message.rumours.is_empty() {
             let rumours = message.rumours.iter();
             let rumours = rumours.filter_map(|text| text.parse().ok()).collect();
