Count what may have run; send, judge and place in steps of their own

Cause: a mark that a request may have run was taken back by one endpoint's refusal while a hedged sending was still under way at another, so that a deadline could be answered with a false not-run. Change: sendings that may run are counted. odd_answers::hedge_is_no_refusal failed before in the order in which the refusal comes from the first endpoint. The sending loop and the table of endpoints are cut into smaller functions and files; nothing else changes.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -4,35 +4,16 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use lentil_catalog::{Catalog, Service};
+use lentil_catalog::Catalog;
 use lentil_core::{EndpointId, ServiceName, Span, Time, TokenCount, ZoneId};
 
 use crate::endpoint::{Endpoint, EngineReport, EngineStage, Listing, Standing, ToldLoad};
 use crate::flight::{Ending, Flight, FlightId};
-use crate::place::{
-    FAILING_WEIGHT, FAR_WEIGHT, GROWTH_PART, GenerationNeed, JITTER, MEMORY_FILL, Nearness, Need,
-    Place, Placement, UNREAD_FULL_TOKENS,
-};
 
 /// How long an engine's report is believed.
-const REPORT_LASTS: Span = Span::from_ms(1_500);
-/// How long the load told with an answer is believed.
-const TOLD_LASTS: Span = Span::from_ms(500);
-/// Endpoints of an availability zone that could not be reached before the whole
-/// zone is in doubt.
-const DOUBT_ENDPOINTS: u32 = 2;
-/// What that doubt weighs against a full memory.
-const DOUBT_WEIGHT: f64 = 0.6;
-/// Fewest endpoints among which the least loaded is chosen.
-const SAMPLE_LEAST: usize = 2;
-/// How many times its part of the endpoints an entry chooses among.
-const SAMPLE_FACTOR: usize = 4;
+pub(crate) const REPORT_LASTS: Span = Span::from_ms(1_500);
 /// Entries assumed to send to an endpoint while no report tells their number.
-const ENTRIES_ASSUMED: u32 = 8;
-/// Tokens by which another entry's running generation will yet grow.
-const GROWTH_ASSUMED: u32 = 350;
-/// Memory of an engine whose service doesn't tell it.
-const MEMORY_ASSUMED: u32 = 16_384;
+pub(crate) const ENTRIES_ASSUMED: u32 = 8;
 
 /// Bounds that deployments set.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -72,13 +53,13 @@
 /// All endpoints, as one entry believes them to be.
 #[derive(Debug)]
 pub struct Fleet {
-    bounds: FleetBounds,
-    zone: ZoneId,
-    catalog: Option<Arc<Catalog>>,
-    endpoints: BTreeMap<EndpointId, Endpoint>,
+    pub(crate) bounds: FleetBounds,
+    pub(crate) zone: ZoneId,
+    pub(crate) catalog: Option<Arc<Catalog>>,
+    pub(crate) endpoints: BTreeMap<EndpointId, Endpoint>,
     zones_out: BTreeSet<ZoneId>,
-    flights: HashMap<FlightId, Flight>,
-    next_flight: u64,
+    pub(crate) flights: HashMap<FlightId, Flight>,
+    pub(crate) next_flight: u64,
 }
 
 impl Fleet {
@@ -374,246 +355,6 @@
             .any(|(id, endpoint)| endpoint.listing.service == *service && self.open(now, id))
     }
 
-    /// Chooses an endpoint and begins a flight there.
-    pub fn place(&mut self, now: Time, need: &Need, tried: &[EndpointId]) -> Placement {
-        let entries = self.entries(now);
-        let service = self
-            .catalog
-            .as_ref()
-            .and_then(|catalog| catalog.service(&need.service).cloned());
-        let doubtful = self.doubtful_zones(now);
-        let mut alive = false;
-        let mut fitting: Vec<(u64, f64, EndpointId)> = Vec::new();
-        let ids: Vec<_> = self
-            .endpoints
-            .iter()
-            .filter(|(id, endpoint)| {
-                endpoint.listing.service == need.service
-                    && self.open(now, id)
-                    && !tried.contains(id)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in ids {
-            alive = true;
-            if !self.bears(now, &id, service.as_ref(), entries) {
-                continue;
-            }
-            let Some(score) = self.score(now, &id, need, service.as_ref(), entries) else {
-                continue;
-            };
-            let doubt = self.endpoints.get(&id).map_or(0.0, |endpoint| {
-                let doubted = doubtful.contains(&endpoint.listing.zone);
-                if doubted { DOUBT_WEIGHT } else { 0.0 }
-            });
-            fitting.push((spread(&id, need.draw), score + doubt, id));
-        }
-        if let Nearness::Copy(zone) = &need.near {
-            self.keep_near(zone, &mut fitting);
-        }
-        match choose(fitting, entries) {
-            Some(id) => self.begin(now, id, need),
-            None if alive => Placement::Full,
-            None => Placement::Nowhere,
-        }
-    }
-
-    /// Leaves those in one availability zone, if there are any.
-    fn keep_near(&self, zone: &ZoneId, fitting: &mut Vec<(u64, f64, EndpointId)>) {
-        let near = |id: &EndpointId| {
-            self.endpoints
-                .get(id)
-                .is_some_and(|endpoint| endpoint.listing.zone == *zone)
-        };
-        if fitting.iter().any(|(_, _, id)| near(id)) {
-            fitting.retain(|(_, _, id)| near(id));
-        }
-    }
-
-    /// Other availability zones in which several endpoints could not be reached
-    /// just now: this one may be cut off from them.
-    fn doubtful_zones(&self, now: Time) -> BTreeSet<ZoneId> {
-        let mut unreached: BTreeMap<&ZoneId, u32> = BTreeMap::new();
-        for endpoint in self.endpoints.values() {
-            if endpoint.health.recently_unreached(now) && endpoint.listing.zone != self.zone {
-                *unreached.entry(&endpoint.listing.zone).or_default() += 1;
-            }
-        }
-        unreached
-            .into_iter()
-            .filter(|(_, count)| *count >= DOUBT_ENDPOINTS)
-            .map(|(zone, _)| zone.clone())
-            .collect()
-    }
-
-    fn begin(&mut self, now: Time, id: EndpointId, need: &Need) -> Placement {
-        let Some(endpoint) = self.endpoints.get_mut(&id) else {
-            return Placement::Nowhere;
-        };
-        endpoint.cold.sent(now);
-        let address = endpoint.listing.address;
-        let flight = FlightId(self.next_flight);
-        self.next_flight += 1;
-        let generation = need.generation.unwrap_or(GenerationNeed {
-            prompt: TokenCount::ZERO,
-            output: TokenCount::ZERO,
-        });
-        self.flights.insert(
-            flight,
-            Flight {
-                endpoint: id.clone(),
-                placed: now,
-                prompt: generation.prompt,
-                output: generation.output,
-                made: TokenCount::ZERO,
-                started: false,
-            },
-        );
-        Placement::At(Place {
-            endpoint: id,
-            address,
-            flight,
-        })
-    }
-
-    /// Whether an endpoint's cold bound and health allow one more.
-    fn bears(
-        &mut self,
-        now: Time,
-        id: &EndpointId,
-        service: Option<&Service>,
-        entries: u32,
-    ) -> bool {
-        let bounds = self.bounds;
-        let Some(endpoint) = self.endpoints.get_mut(id) else {
-            return false;
-        };
-        if endpoint.health.paused(now) {
-            return false;
-        }
-        let cold = service.and_then(|service| service.cold);
-        let Some(cold) = cold.filter(|_| !endpoint.cold_until.has_passed(now)) else {
-            return true;
-        };
-        let bound = cold.requests_per_s + bounds.cold_slack / 2.0;
-        endpoint.cold.admits(now, part(bound, entries))
-    }
-
-    /// How loaded an endpoint is, or `None` if it has no room.
-    fn score(
-        &self,
-        now: Time,
-        id: &EndpointId,
-        need: &Need,
-        service: Option<&Service>,
-        entries: u32,
-    ) -> Option<f64> {
-        let endpoint = self.endpoints.get(id)?;
-        let load = match &need.generation {
-            Some(generation) => self.engine_load(now, id, endpoint, service, generation)?,
-            None => self.service_load(now, id, endpoint, entries),
-        };
-        let far = match &need.near {
-            Nearness::Own if endpoint.listing.zone != self.zone => FAR_WEIGHT,
-            Nearness::Own | Nearness::Copy(_) => 0.0,
-        };
-        let failing = endpoint.health.failing_share() * FAILING_WEIGHT;
-        Some(load + far + failing + jitter(id, need.draw))
-    }
-
-    fn service_load(&self, now: Time, id: &EndpointId, endpoint: &Endpoint, entries: u32) -> f64 {
-        let own = f64::from(count(self.flights_at(id).count()));
-        let told = endpoint
-            .told
-            .filter(|told| !(told.at + TOLD_LASTS).has_passed(now));
-        match told {
-            Some(told) => {
-                let since = self.flights_at(id).filter(|flight| flight.placed > told.at);
-                let known =
-                    f64::from(told.running + told.waiting) + f64::from(count(since.count()));
-                known / f64::from(told.slots.max(1))
-            }
-            None => own * f64::from(entries) / f64::from(ENTRIES_ASSUMED),
-        }
-    }
-
-    /// The forecast share of an engine's memory, and what waits to be read.
-    fn engine_load(
-        &self,
-        now: Time,
-        id: &EndpointId,
-        endpoint: &Endpoint,
-        service: Option<&Service>,
-        generation: &GenerationNeed,
-    ) -> Option<f64> {
-        let shape = service.and_then(|service| service.engine);
-        let total = shape.map_or(MEMORY_ASSUMED, |shape| shape.memory_tokens.get());
-        let slots = shape.map_or(1, |shape| shape.slots.max(1));
-        let report = endpoint
-            .report
-            .as_ref()
-            .filter(|(at, _)| !(*at + REPORT_LASTS).has_passed(now));
-        let own_used = self.tokens(id, |flight| {
-            if flight.started {
-                flight.prompt + flight.made
-            } else {
-                flight.prompt
-            }
-        });
-        let own_growth = self.tokens(id, Flight::growth);
-        let own_count = count(self.flights_at(id).count());
-        let (used, running, waiting) = match report {
-            Some((at, report)) => {
-                let late = self
-                    .flights_at(id)
-                    .filter(|flight| flight.placed > *at)
-                    .map(|flight| flight.prompt);
-                let late_tokens: TokenCount = late.sum();
-                (
-                    (report.memory_used + late_tokens).max(own_used),
-                    report.running.max(own_count),
-                    report.waiting,
-                )
-            }
-            None => (own_used, own_count, 0),
-        };
-        let others = running.saturating_sub(own_count);
-        let growth = f64::from(own_growth.get()) + f64::from(others * GROWTH_ASSUMED);
-        let need =
-            f64::from(generation.prompt.get()) + f64::from(generation.output.get()) * GROWTH_PART;
-        let forecast = f64::from(used.get()) + growth * GROWTH_PART;
-        let total = f64::from(total.max(1));
-        let empty = running == 0 && waiting == 0 && own_count == 0;
-        if !empty && (forecast + need > total * MEMORY_FILL || running + waiting >= slots) {
-            return None;
-        }
-        let unread = self.tokens(id, |flight| {
-            if flight.started {
-                TokenCount::ZERO
-            } else {
-                flight.prompt
-            }
-        });
-        let others_unread = waiting.saturating_sub(self.unstarted(id));
-        let unread =
-            f64::from(unread.get()) + f64::from(others_unread) * f64::from(generation.prompt.get());
-        Some((forecast + need) / total + unread / UNREAD_FULL_TOKENS)
-    }
-
-    fn flights_at<'a>(&'a self, id: &'a EndpointId) -> impl Iterator<Item = &'a Flight> {
-        self.flights
-            .values()
-            .filter(move |flight| flight.endpoint == *id)
-    }
-
-    fn tokens(&self, id: &EndpointId, of: impl Fn(&Flight) -> TokenCount) -> TokenCount {
-        self.flights_at(id).map(of).sum()
-    }
-
-    fn unstarted(&self, id: &EndpointId) -> u32 {
-        count(self.flights_at(id).filter(|flight| !flight.started).count())
-    }
-
     /// A flight's output has reached this many tokens.
     pub fn progress(&mut self, flight: FlightId, made: TokenCount) {
         if let Some(flight) = self.flights.get_mut(&flight) {
@@ -642,42 +383,3 @@
         self.flights.retain(|_, flight| flight.endpoint != *id);
     }
 }
-
-/// The least loaded of a random sample. The more entries choose between two
-/// reports, the smaller the sample: with the same late figures they would all
-/// choose the same endpoint.
-fn choose(mut fitting: Vec<(u64, f64, EndpointId)>, entries: u32) -> Option<EndpointId> {
-    let entries = usize::try_from(entries.max(1)).unwrap_or(usize::MAX);
-    let sample = (SAMPLE_FACTOR * fitting.len() / entries).max(SAMPLE_LEAST);
-    fitting.sort_by_key(|(spread, _, _)| *spread);
-    fitting.truncate(sample);
-    fitting
-        .into_iter()
-        .min_by(|(_, one, _), (_, other, _)| one.total_cmp(other))
-        .map(|(_, _, id)| id)
-}
-
-fn count(number: usize) -> u32 {
-    u32::try_from(number).unwrap_or(u32::MAX)
-}
-
-/// One entry's whole requests of a bound that all share.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn part(bound: f64, entries: u32) -> usize {
-    ((bound / f64::from(entries.max(1))).floor() as usize).max(1)
-}
-
-/// A number that differs by endpoint and draw.
-fn spread(id: &EndpointId, draw: u64) -> u64 {
-    let mixed = id.as_str().bytes().fold(draw, |mixed, byte| {
-        (mixed ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    });
-    // The low bits of such a product depend on few bytes.
-    (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 16
-}
-
-/// A number below [`JITTER`] that differs by endpoint and draw.
-fn jitter(id: &EndpointId, draw: u64) -> f64 {
-    let low = u32::try_from(spread(id, draw) & 0xffff).unwrap_or(0);
-    f64::from(low) / f64::from(0xffff_u32) * JITTER
-}
--- a/crates/fleet/src/flight.rs
+++ b/crates/fleet/src/flight.rs
@@ -40,4 +40,18 @@
     pub(crate) fn growth(&self) -> TokenCount {
         self.output - self.made
     }
+
+    /// Tokens that it holds in the engine's memory, or will once it is read.
+    pub(crate) fn held(&self) -> TokenCount {
+        self.prompt + self.made
+    }
+
+    /// Tokens of the prompt that the engine has not read yet.
+    pub(crate) const fn unread(&self) -> TokenCount {
+        if self.started {
+            TokenCount::ZERO
+        } else {
+            self.prompt
+        }
+    }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 mod flight;
 mod health;
 mod place;
+mod placing;
 
 pub use budget::{BudgetBounds, RetryBudget};
 pub use endpoint::{EngineReport, EngineStage, Listing};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -50,8 +50,8 @@
     pub(crate) until: Time,
     /// Endpoints that it was sent to.
     sent: Cell<u32>,
-    /// Whether any of them may have run it.
-    may_have_run: Cell<bool>,
+    /// Those of them that run it, have run it, or may have.
+    possible_runs: Cell<u32>,
     /// Endpoints that get no further try.
     tried: RefCell<Vec<EndpointId>>,
     /// What became of each sending, for the log.
@@ -65,7 +65,41 @@
     pub(crate) permit: Permit,
 }
 
+/// What became of one sending.
+enum Sent {
+    /// The endpoint answers for it.
+    Answered(Reply),
+    /// The endpoint failed it, or answered well without its signature.
+    Failed(Reply),
+    /// The endpoint states that it did not run it.
+    Declined,
+    /// Nothing was sent.
+    NotReached,
+    /// Another endpoint is there.
+    Gone,
+    /// It may have run, and its answer is lost.
+    BrokeOff,
+}
+
 impl Job {
+    /// It is about to be sent: until an answer proves otherwise it may run.
+    fn begin_sending(&self) {
+        self.sent.set(self.sent.get() + 1);
+        self.possible_runs.set(self.possible_runs.get() + 1);
+    }
+
+    /// An endpoint did not run it.
+    fn did_not_run(&self) {
+        let runs = self.possible_runs.get();
+        self.possible_runs.set(runs.saturating_sub(1));
+    }
+
+    /// It did not come to the endpoint.
+    fn never_arrived(&self) {
+        self.did_not_run();
+        self.sent.set(self.sent.get().saturating_sub(1));
+    }
+
     pub(crate) fn new(
         route: Route,
         service: ServiceName,
@@ -91,7 +125,7 @@
             arrived,
             until,
             sent: Cell::new(0),
-            may_have_run: Cell::new(false),
+            possible_runs: Cell::new(0),
             tried: RefCell::default(),
             trail: RefCell::default(),
             route,
@@ -114,7 +148,7 @@
 
     /// A refusal that tells what is known of the request.
     pub(crate) fn refuse(&self, reason: RefusalReason, proof: Option<NotRunProof>) -> Refusal {
-        if self.may_have_run.get() {
+        if self.possible_runs.get() > 0 {
             return Refusal::unknown(reason);
         }
         let proof = proof.unwrap_or(NotRunProof::NeverSent);
@@ -160,87 +194,34 @@
         made: TokenCount,
     ) -> Result<Opened, Refusal> {
         let mut unreached = 0;
-        let wait = Span::from_us(job.route.target_latency.as_us() / 100 * WAIT_PERCENT);
         loop {
-            let wait_until = job.until.min(self.now() + wait);
-            let need = Self::need(job, made);
-            let tried = job.tried.borrow().clone();
-            let permit = match self.find_place(job, need, &tried, wait_until).await {
-                Ok(permit) => permit,
-                Err(refusal) => {
-                    job.note(format!("no place: {}", refusal.reason));
-                    return Err(job.refuse(refusal.reason, None));
-                }
-            };
+            let permit = self.find_place_for(job, made).await?;
             self.may_rely(job.organisation.as_ref())?;
-            let endpoint = permit.place.endpoint.clone();
-            job.excludes(endpoint.clone());
-            job.sent.set(job.sent.get() + 1);
-            let sent_before = job.may_have_run.replace(true);
-            let sent_at = self.now();
-            let reply = self
-                .endpoints
-                .send(self.call(job, &permit, resume.clone()))
-                .await;
-            let took_ms = self.now().since(sent_at).as_ms();
-            let never_arrived = |why: String| {
-                job.may_have_run.set(sent_before);
-                job.sent.set(job.sent.get() - 1);
-                job.note(format!("{endpoint} not reached in {took_ms} ms: {why}"));
-            };
-            let reply = match reply {
-                Ok(reply) => reply,
-                Err(SendError::NotSent(why)) => {
-                    permit.ending(Ending::Unreached);
-                    never_arrived(why);
+            match self.send_once(job, &permit, resume.clone()).await {
+                Sent::Answered(reply) => return Ok(Opened { reply, permit }),
+                Sent::NotReached => {
                     unreached += 1;
                     if unreached >= UNREACHED_MAX {
                         return Err(job.refuse(RefusalReason::EndpointFailed, None));
                     }
-                    continue;
                 }
-                Err(error @ (SendError::Unknown(_) | SendError::Crossed(_))) => {
-                    permit.ending(match error {
-                        SendError::Crossed(_) => Ending::Failed,
-                        SendError::Unknown(_) | SendError::NotSent(_) => Ending::Unreached,
-                    });
-                    job.note(format!("{endpoint} after {took_ms} ms: {error}"));
-                    if self.may_run_again(job, &permit).await {
-                        continue;
-                    }
-                    return Err(job.refuse(RefusalReason::EndpointFailed, None));
-                }
-            };
-            self.learn(&endpoint, &reply);
-            match reply.attestation {
-                Attestation::OtherEndpoint => {
-                    never_arrived("another endpoint has its address".into());
-                    let gone = self.fleet.borrow_mut().gone(self.now(), &endpoint);
-                    if gone.is_some() {
-                        log::info!(endpoint:% = endpoint; "endpoint is no longer at its address");
-                    }
-                }
-                Attestation::NotRun => {
-                    permit.ending(Ending::Full);
-                    job.may_have_run.set(sent_before);
-                    job.note(format!("{endpoint} declined with {}", reply.status));
+                Sent::Gone => {}
+                Sent::Declined => {
                     if !job.may_repeat(self) {
                         let proof = NotRunProof::EndpointDeclined;
                         return Err(job.refuse(RefusalReason::Overloaded, Some(proof)));
                     }
                 }
-                Attestation::Ran | Attestation::Nothing => {
-                    let status = reply.status;
-                    let hollow = status.is_success() && reply.attestation == Attestation::Nothing;
-                    job.note(format!("{endpoint} answered {status} in {took_ms} ms"));
-                    if !status.is_server_error() && !hollow {
-                        return Ok(Opened { reply, permit });
+                Sent::BrokeOff => {
+                    if !self.may_run_again(job, &permit).await {
+                        return Err(job.refuse(RefusalReason::EndpointFailed, None));
                     }
-                    permit.ending(Ending::Failed);
+                }
+                Sent::Failed(reply) => {
                     if job.route.repeatable() && job.may_repeat(self) {
                         continue;
                     }
-                    if hollow {
+                    if reply.status.is_success() {
                         return Err(job.refuse(RefusalReason::EndpointFailed, None));
                     }
                     return Ok(Opened { reply, permit });
@@ -249,6 +230,83 @@
         }
     }
 
+    /// A place that the request was not sent to before.
+    async fn find_place_for(&self, job: &Job, made: TokenCount) -> Result<Permit, Refusal> {
+        let wait = Span::from_us(job.route.target_latency.as_us() / 100 * WAIT_PERCENT);
+        let wait_until = job.until.min(self.now() + wait);
+        let tried = job.tried.borrow().clone();
+        let need = Self::need(job, made);
+        let found = self.find_place(job, need, &tried, wait_until).await;
+        found.map_err(|refusal| {
+            job.note(format!("no place: {}", refusal.reason));
+            job.refuse(refusal.reason, None)
+        })
+    }
+
+    /// Sends a request to one endpoint and learns from its answer.
+    async fn send_once(&self, job: &Job, permit: &Permit, resume: Option<Resume>) -> Sent {
+        let endpoint = &permit.place.endpoint;
+        job.excludes(endpoint.clone());
+        job.begin_sending();
+        let sent_at = self.now();
+        let call = self.call(job, permit, resume);
+        let answer = self.endpoints.send(call).await;
+        let took_ms = self.now().since(sent_at).as_ms();
+        match answer {
+            Ok(reply) => {
+                self.learn(endpoint, &reply);
+                self.judge(job, permit, reply, took_ms)
+            }
+            Err(SendError::NotSent(why)) => {
+                permit.ending(Ending::Unreached);
+                job.never_arrived();
+                job.note(format!("{endpoint} not reached in {took_ms} ms: {why}"));
+                Sent::NotReached
+            }
+            Err(SendError::Unknown(why)) => {
+                permit.ending(Ending::Unreached);
+                job.note(format!("{endpoint} broke off after {took_ms} ms: {why}"));
+                Sent::BrokeOff
+            }
+            Err(SendError::Crossed(why)) => {
+                permit.ending(Ending::Failed);
+                job.note(format!("{endpoint} gave a crossed answer: {why}"));
+                Sent::BrokeOff
+            }
+        }
+    }
+
+    /// What an answer's head means for its request.
+    fn judge(&self, job: &Job, permit: &Permit, reply: Reply, took_ms: u64) -> Sent {
+        let endpoint = &permit.place.endpoint;
+        let status = reply.status;
+        match reply.attestation {
+            Attestation::OtherEndpoint => {
+                job.never_arrived();
+                job.note(format!("another endpoint has the address of {endpoint}"));
+                if self.fleet.borrow_mut().gone(self.now(), endpoint).is_some() {
+                    log::info!(endpoint:% = endpoint; "endpoint is no longer at its address");
+                }
+                Sent::Gone
+            }
+            Attestation::NotRun => {
+                permit.ending(Ending::Full);
+                job.did_not_run();
+                job.note(format!("{endpoint} declined with {status}"));
+                Sent::Declined
+            }
+            Attestation::Ran | Attestation::Nothing => {
+                job.note(format!("{endpoint} answered {status} in {took_ms} ms"));
+                let unsigned = reply.attestation == Attestation::Nothing;
+                if status.is_server_error() || (unsigned && status.is_success()) {
+                    permit.ending(Ending::Failed);
+                    return Sent::Failed(reply);
+                }
+                Sent::Answered(reply)
+            }
+        }
+    }
+
     /// Whether a request that broke off at this place may run once more.
     pub(crate) async fn may_run_again(self: &Rc<Self>, job: &Job, permit: &Permit) -> bool {
         if !job.route.repeatable() {
--- a/crates/lentiltray/tests/it/odd_answers.rs
+++ b/crates/lentiltray/tests/it/odd_answers.rs
@@ -101,6 +101,25 @@
     }
 }
 
+/// One endpoint declines while the other is still at work: the request may run,
+/// so its caller is not told otherwise.
+#[test]
+fn hedge_is_no_refusal() {
+    let declining = Replica::start("i-1", |request, stream| {
+        std::thread::sleep(Duration::from_millis(300));
+        declines(request, stream)
+    });
+    let silent = Replica::start("i-2", |_, _| {
+        std::thread::sleep(Duration::from_secs(8));
+        After::Close
+    });
+    let site = Site::start("no_refusal", &[(&declining, "desk"), (&silent, "desk")]);
+    for number in 0..2 {
+        let id = format!("r{number}");
+        assert_eq!(site.call("/lookup/a", &id, "").unwrap().status, 504);
+    }
+}
+
 /// A second answer belongs to no request, also when it comes where the next
 /// answer is due.
 #[test]
