--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -3,8 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
 use futures_util::future::{Either, select};
 use lentil_catalog::{Rank, Route};
 use lentil_core::{
@@ -13,7 +11,7 @@
 };
 use lentil_fleet::Ending;
 
-use crate::body::{AnswerBody, Broken};
+use crate::body::{AnswerBody, collect};
 use crate::endpoints::{Attestation, Call, Reply, Resume, SendError};
 use crate::gateway::{Gateway, Permit, RETRY_SOON, is_stream};
 use crate::poison;
@@ -22,7 +20,7 @@
 /// Endpoints that are tried in vain, with nothing sent, before giving up.
 const UNREACHED_MAX: u32 = 4;
 /// Largest answer that is held whole, in bytes.
-const WHOLE_MAX_BYTES: usize = 16 * 1024 * 1024;
+pub(crate) const WHOLE_MAX_BYTES: usize = 16 * 1024 * 1024;
 /// Part of the target latency that a generation may wait for a place, in
 /// percent; beyond it the first event would come late.
 const WAIT_PERCENT: u64 = 100;
@@ -380,7 +378,7 @@
         loop {
             let Opened { reply, permit } = self.open(job, None, TokenCount::ZERO).await?;
             let status = reply.status;
-            match collect(reply.body).await {
+            match collect(reply.body, WHOLE_MAX_BYTES).await {
                 Ok(body) => {
                     if !status.is_server_error() {
                         permit.ending(Ending::Good);
@@ -396,9 +394,9 @@
                         body: AnswerBody::from(body),
                     });
                 }
-                Err(Broken) => {
+                Err(error) => {
                     permit.ending(Ending::Failed);
-                    job.note("its answer broke off".into());
+                    job.note(format!("its answer was not read: {error}"));
                     if !self.may_run_again(job, &permit).await {
                         return Err(job.refuse(RefusalReason::EndpointFailed, None));
                     }
@@ -418,26 +416,3 @@
 pub(crate) fn seconds(span: Span) -> f64 {
     span.as_us() as f64 / 1e6
 }
-
-/// Reads a body to its end.
-pub(crate) async fn collect(
-    mut body: futures_util::stream::LocalBoxStream<'static, Result<Bytes, Broken>>,
-) -> Result<Bytes, Broken> {
-    let mut first: Option<Bytes> = None;
-    let mut whole = BytesMut::new();
-    while let Some(piece) = body.next().await {
-        let piece = piece?;
-        if whole.len() + piece.len() > WHOLE_MAX_BYTES {
-            return Err(Broken);
-        }
-        match first.take() {
-            None if whole.is_empty() => first = Some(piece),
-            None => whole.extend_from_slice(&piece),
-            Some(earlier) => {
-                whole.extend_from_slice(&earlier);
-                whole.extend_from_slice(&piece);
-            }
-        }
-    }
-    Ok(first.unwrap_or_else(|| whole.freeze()))
-}
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -3,7 +3,8 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
 use http_body::{Body, Frame, SizeHint};
 use thiserror::Error;
@@ -67,3 +68,61 @@
         }
     }
 }
+
+/// A body was not read to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum CollectError {
+    /// It is longer than allowed.
+    #[error("the body is longer than allowed")]
+    TooLong,
+    /// It broke off.
+    #[error("the body broke off")]
+    BrokenOff,
+}
+
+/// Joins pieces; a single piece is not copied.
+#[derive(Debug, Default)]
+pub(crate) struct Joiner {
+    only: Option<Bytes>,
+    joined: BytesMut,
+}
+
+impl Joiner {
+    pub(crate) fn len(&self) -> usize {
+        self.joined.len() + self.only.as_ref().map_or(0, Bytes::len)
+    }
+
+    pub(crate) fn push(&mut self, piece: Bytes) {
+        if self.len() == 0 {
+            self.only = Some(piece);
+            return;
+        }
+        if let Some(only) = self.only.take() {
+            self.joined.extend_from_slice(&only);
+        }
+        self.joined.extend_from_slice(&piece);
+    }
+
+    pub(crate) fn into_bytes(self) -> Bytes {
+        self.only.unwrap_or_else(|| self.joined.freeze())
+    }
+}
+
+/// Reads a body to its end.
+///
+/// # Errors
+/// It is too long, or breaks off.
+pub async fn collect(
+    mut body: LocalBoxStream<'static, Result<Bytes, Broken>>,
+    max_bytes: usize,
+) -> Result<Bytes, CollectError> {
+    let mut whole = Joiner::default();
+    while let Some(piece) = body.next().await {
+        let piece = piece.map_err(|Broken| CollectError::BrokenOff)?;
+        if whole.len() + piece.len() > max_bytes {
+            return Err(CollectError::TooLong);
+        }
+        whole.push(piece);
+    }
+    Ok(whole.into_bytes())
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,12 +9,11 @@
 
 use lentil_catalog::{Catalog, InForce, Replaced, Route, RouteKind};
 use lentil_core::{
-    ConfigVersion, NotRunProof, OrganisationId, Outcome, Refusal, RefusalReason, ServiceName, Span,
-    Time, TokenCount, ZoneId,
+    NotRunProof, OrganisationId, Refusal, RefusalReason, ServiceName, Span, Time, TokenCount,
+    ZoneId,
 };
 use lentil_fleet::{
-    BudgetBounds, Change, Ending, Fleet, FleetBounds, GenerationNeed, Nearness, Need, Place,
-    Placement, RetryBudget,
+    BudgetBounds, Change, Ending, Fleet, FleetBounds, Need, Place, Placement, RetryBudget,
 };
 use lentil_shell::BootClock;
 use tokio::sync::Notify;
@@ -28,17 +27,13 @@
 use crate::mover;
 use crate::poison::Poison;
 use crate::readiness::Readiness;
-use crate::relay;
-use crate::request::{Answer, Inbound};
 use crate::runs::Runs;
 use crate::turns::Turns;
 
-/// Longest time a request may take where neither caller nor route states one.
-const PATIENCE_DEFAULT: Span = Span::from_s(30);
 /// Advice to callers when nothing serves their request now.
 pub(crate) const RETRY_SOON: Span = Span::from_ms(700);
 /// Advice to callers when the store can't be reached: another gateway may do.
-const RETRY_ELSEWHERE: Span = Span::from_ms(200);
+pub(crate) const RETRY_ELSEWHERE: Span = Span::from_ms(200);
 /// How long after its last failure the store counts as disturbed: entries that
 /// lapsed meanwhile are back within two seconds of its return.
 const DISTURBED: Span = Span::from_ms(2_500);
@@ -85,7 +80,7 @@
     clock: BootClock,
     pub(crate) endpoints: Rc<dyn Endpoints>,
     pub(crate) counters: Counters,
-    in_force: RefCell<InForce>,
+    pub(crate) in_force: RefCell<InForce>,
     pub(crate) fleet: Rc<RefCell<Fleet>>,
     line: RefCell<Line<Permit>>,
     wake: Rc<Notify>,
@@ -363,7 +358,11 @@
         spent
     }
 
-    fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+    pub(crate) fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        act: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
         let now = self.now();
         let entries = self.fleet.borrow().entries(now);
         let mut budgets = self.budgets.borrow_mut();
@@ -440,109 +439,6 @@
         }
         Ok(())
     }
-
-    /// Finds route and organisation of a request.
-    fn admit(&self, inbound: Inbound, arrived: Time) -> Result<Job, Refusal> {
-        let never = |reason| Refusal::not_run(NotRunProof::NeverSent, reason);
-        let unknown_yet = || never(RefusalReason::LogUnavailable).retry_after(RETRY_ELSEWHERE);
-        let in_force = self.in_force.borrow();
-        let catalog = in_force.catalog().ok_or_else(unknown_yet)?;
-        let lapsed = in_force.relied_on_until().has_passed(self.now());
-        let not_found = |reason| if lapsed { unknown_yet() } else { never(reason) };
-        let route = catalog
-            .route(&inbound.host, inbound.path())
-            .ok_or_else(|| not_found(RefusalReason::NotFound))?;
-        let organisation = if catalog.needs_keys() && !route.public {
-            let key = inbound.key.as_deref().unwrap_or("");
-            let found = catalog.organisation(key);
-            Some(found.ok_or_else(|| not_found(RefusalReason::Unauthorised))?)
-        } else {
-            None
-        };
-        let service = route
-            .service(inbound.id.draw())
-            .ok_or_else(|| never(RefusalReason::NotFound))?;
-        let timeout = inbound.patience.map_or(route.timeout, |patience| {
-            Span::from_us(patience.as_us().min(route.timeout.as_us()))
-        });
-        let timeout = if timeout == Span::ZERO {
-            PATIENCE_DEFAULT
-        } else {
-            timeout
-        };
-        let until = arrived + timeout;
-        Ok(Job::new(
-            route.clone(),
-            service.clone(),
-            organisation.map(|organisation| (organisation.id.clone(), organisation.rank)),
-            catalog.version(),
-            (arrived, until),
-            inbound,
-        ))
-    }
-
-    /// Serves one request; dropping the future cancels it.
-    pub async fn serve(self: Rc<Self>, inbound: Inbound, arrived: Time) -> Answer {
-        let id = inbound.id.clone();
-        let job = match self.admit(inbound, arrived) {
-            Ok(job) => Rc::new(job),
-            Err(refusal) => {
-                self.counters.ended("refused");
-                log::info!(
-                    request:% = id,
-                    version:% = self.version(),
-                    reason:% = refusal.reason;
-                    "request refused at the door"
-                );
-                return Answer::Refused(refusal);
-            }
-        };
-        self.with_budget(&job.service, RetryBudget::earn);
-        if self.poison.refuses(job.fingerprint) {
-            self.counters.ended("refused");
-            job.log_end(&self, "refused: it crashes the endpoints that run it");
-            return Answer::Refused(job.refuse(RefusalReason::Poison, None));
-        }
-        let until = self.instant(job.until);
-        let served = match job.route.kind {
-            RouteKind::Streaming => {
-                let served = relay::serve(Rc::clone(&self), Rc::clone(&job));
-                tokio::time::timeout_at(until, served).await
-            }
-            RouteKind::Idempotent | RouteKind::NonIdempotent => {
-                let served = self.serve_whole(&job);
-                tokio::time::timeout_at(until, served).await
-            }
-        };
-        let refusal = match served {
-            Ok(Ok(answer)) => return answer,
-            Ok(Err(refusal)) => refusal,
-            Err(_) => job.refuse(RefusalReason::DeadlineExceeded, None),
-        };
-        self.counters.ended(match refusal.outcome() {
-            Outcome::NotRun => "refused",
-            Outcome::Ran | Outcome::Unknown => "failed",
-        });
-        job.log_end(&self, &refusal.to_string());
-        Answer::Refused(refusal)
-    }
-
-    pub(crate) fn version(&self) -> ConfigVersion {
-        self.in_force.borrow().version()
-    }
-
-    /// What a job needs, where it goes on after `made` tokens.
-    pub(crate) fn need(job: &Job, made: TokenCount) -> Need {
-        Need {
-            service: job.service.clone(),
-            generation: job.generation().map(|(prompt, output)| GenerationNeed {
-                prompt: prompt + made,
-                output: output - made,
-            }),
-            near: Nearness::Own,
-            draw: job.request.id.draw(),
-        }
-    }
 }
 
 /// Whether a route's requests are generations.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,10 +28,11 @@
 mod relay;
 mod request;
 mod runs;
+mod serve;
 mod stop;
 mod turns;
 
-pub use body::{AnswerBody, Broken};
+pub use body::{AnswerBody, Broken, CollectError, collect};
 pub use control::{Control, ControlError, ControlOptions, Directories};
 pub use directory::{Changes, Directory, DirectoryError, EndpointChanges, Orders};
 pub use endpoints::{
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -19,7 +19,7 @@
 use tokio::time::Instant;
 
 use crate::LocalFuture;
-use crate::body::AnswerBody;
+use crate::body::{AnswerBody, Joiner};
 use crate::pool::watch_peer;
 use crate::stop::Stage;
 
@@ -194,30 +194,21 @@
     max_bytes: usize,
     until: Instant,
 ) -> Result<Bytes, BodyError> {
-    let mut whole = BytesMut::new();
-    let mut first: Option<Bytes> = None;
+    let mut whole = Joiner::default();
     loop {
         let frame = tokio::time::timeout_at(until, body.frame())
             .await
             .map_err(|_| BodyError::Late)?;
         let Some(frame) = frame else {
-            break;
+            return Ok(whole.into_bytes());
         };
         let frame = frame.map_err(|_| BodyError::BrokenOff)?;
-        let Ok(bytes) = frame.into_data() else {
+        let Ok(piece) = frame.into_data() else {
             continue;
         };
-        if whole.len() + first.as_ref().map_or(0, Bytes::len) + bytes.len() > max_bytes {
+        if whole.len() + piece.len() > max_bytes {
             return Err(BodyError::TooLong);
         }
-        match first.take() {
-            None if whole.is_empty() => first = Some(bytes),
-            None => whole.extend_from_slice(&bytes),
-            Some(earlier) => {
-                whole.extend_from_slice(&earlier);
-                whole.extend_from_slice(&bytes);
-            }
-        }
+        whole.push(piece);
     }
-    Ok(first.unwrap_or_else(|| whole.freeze()))
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
 use lentil_core::{Refusal, RefusalReason, Span, Time, TokenCount};
 use lentil_fleet::Ending;
 
-use crate::attempt::{Job, Opened, collect, seconds};
-use crate::body::{AnswerBody, Broken};
+use crate::attempt::{Job, Opened, WHOLE_MAX_BYTES, seconds};
+use crate::body::{AnswerBody, Broken, Joiner, collect};
 use crate::endpoints::{Attestation, Memory, Resume};
 use crate::events::EventSplitter;
 use crate::gateway::{Gateway, Permit};
@@ -59,7 +59,7 @@
     let Opened { reply, permit } = opened;
     let (status, headers) = (reply.status, reply.headers);
     if !status.is_success() {
-        let body = collect(reply.body)
+        let body = collect(reply.body, WHOLE_MAX_BYTES)
             .await
             .map_err(|_| job.refuse(RefusalReason::EndpointFailed, None))?;
         gateway.counters.ended("answered");
@@ -177,8 +177,7 @@
 
     /// All whole events that have come, each once and in order.
     fn take_events(&mut self) -> Result<Option<Bytes>, Broken> {
-        let mut first: Option<Bytes> = None;
-        let mut joined = BytesMut::new();
+        let mut events = Joiner::default();
         while let Some(event) = self.splitter.next_event().map_err(|_| Broken)? {
             if let (Some(number), Some(last)) = (event.number, self.last)
                 && number <= last
@@ -187,16 +186,9 @@
             }
             self.last = event.number.or(self.last);
             self.made += self.event_tokens;
-            match first.take() {
-                None if joined.is_empty() => first = Some(event.bytes),
-                None => joined.extend_from_slice(&event.bytes),
-                Some(earlier) => {
-                    joined.extend_from_slice(&earlier);
-                    joined.extend_from_slice(&event.bytes);
-                }
-            }
+            events.push(event.bytes);
         }
-        let bytes = first.unwrap_or_else(|| joined.freeze());
+        let bytes = events.into_bytes();
         if bytes.is_empty() {
             return Ok(None);
         }
