--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,7 +43,7 @@
 pub use gateway::{Gateway, GatewayBounds, GatewayOptions};
 pub use head::end_to_end;
 pub use listener::{BodyError, Connections, Handler, read_body, serve};
-pub use metrics::Counters;
+pub use metrics::{Counters, MetricsSource, ObserverCounters};
 pub use observer::{Observer, ObserverError, ObserverOptions};
 pub use pool::{Pool, PoolError, Reuse, Taken};
 pub use readiness::Readiness;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Counters and latency histograms of a gateway.
+//! Counters and latency histograms of gateways and observers.
 
 use std::fmt;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -11,8 +11,10 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-/// Prefix of every metric's name.
+/// Prefix of the names of a gateway's metrics.
 const PREFIX: &str = "lentiltray_gateway";
+/// Prefix of the names of an observer's metrics.
+const OBSERVER_PREFIX: &str = "lentiltray_observer";
 /// Upper bound of the first latency bucket, in seconds.
 const BUCKET_FIRST_S: f64 = 0.005;
 /// Ratio of neighbouring latency buckets.
@@ -102,15 +104,77 @@
     pub(crate) fn moved(&self, step: &'static str) {
         self.moves.get_or_create(&Moved { step }).inc();
     }
+}
+
+impl MetricsSource for Counters {
+    fn encode(&self) -> Result<String, fmt::Error> {
+        encode_all(&self.registry)
+    }
+}
 
+/// Metrics that a page shows.
+pub trait MetricsSource {
     /// All metrics in the OpenMetrics text form.
     ///
     /// # Errors
     /// A metric can't be written.
-    pub fn encode(&self) -> Result<String, fmt::Error> {
-        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut text = String::new();
-        encode(&mut text, &registry)?;
-        Ok(text)
+    fn encode(&self) -> Result<String, fmt::Error>;
+}
+
+fn encode_all(registry: &Mutex<Registry>) -> Result<String, fmt::Error> {
+    let registry = registry.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut text = String::new();
+    encode(&mut text, &registry)?;
+    Ok(text)
+}
+
+/// All counters of an observer.
+#[derive(Clone)]
+pub struct ObserverCounters {
+    registry: Arc<Mutex<Registry>>,
+    pub(crate) answer_s: Histogram,
+    pub(crate) unanswered: Counter,
+    pub(crate) followers: Gauge,
+    pub(crate) turns: Counter,
+}
+
+impl fmt::Debug for ObserverCounters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ObserverCounters(..)")
+    }
+}
+
+impl Default for ObserverCounters {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix(OBSERVER_PREFIX);
+        let answer_s = Histogram::new(exponential_buckets(BUCKET_FIRST_S, BUCKET_RATIO, BUCKETS));
+        let unanswered = Counter::default();
+        let followers = Gauge::default();
+        let turns = Counter::default();
+        registry.register(
+            "engine_answer_seconds",
+            "Time of the engine's answers",
+            answer_s.clone(),
+        );
+        registry.register(
+            "engine_unanswered",
+            "Questions without an answer of the engine",
+            unanswered.clone(),
+        );
+        registry.register("followers", "Gateways that follow", followers.clone());
+        registry.register("turns", "Turns on the engine's link", turns.clone());
+        Self {
+            registry: Arc::new(Mutex::new(registry)),
+            answer_s,
+            unanswered,
+            followers,
+            turns,
+        }
+    }
+}
+
+impl MetricsSource for ObserverCounters {
+    fn encode(&self) -> Result<String, fmt::Error> {
+        encode_all(&self.registry)
     }
 }
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -19,7 +19,9 @@
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Request, Response, Status};
 
+use crate::attempt::seconds;
 use crate::endpoints::Endpoints;
+use crate::metrics::ObserverCounters;
 
 /// Pause between two questions to the engine; they are free on its own host.
 const ASK_PAUSE: Duration = Duration::from_millis(120);
@@ -48,8 +50,10 @@
 }
 
 /// What an observer needs.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct ObserverOptions {
+    /// Its counters.
+    pub counters: ObserverCounters,
     /// Where gateways reach it.
     pub listen: SocketAddr,
     /// The engine beside it.
@@ -80,13 +84,15 @@
         listener.set_nonblocking(true).map_err(listen)?;
         let (reports, latest) = watch::channel(v1::EngineReport::default());
         let shared = Shared {
+            counters: options.counters.clone(),
             followers: Arc::new(AtomicU32::new(0)),
             suspects: Arc::new(Mutex::new(Suspects::new(Limits::default()))),
         };
         let asking = shared.clone();
+        let clock = options.clock;
         let engine = spawn_io("engine", move || ask(options, engines(), reports, asking))?;
         let service = Service {
-            clock: options.clock,
+            clock,
             latest,
             shared,
             link: Arc::new(Semaphore::new(1)),
@@ -109,9 +115,15 @@
     let mut reachable = None;
     loop {
         let now = options.clock.now();
-        let mut report = match engines.inspect(options.engine, now).await {
-            Ok(report) => write(now, &report),
+        let answer = engines.inspect(options.engine, now).await;
+        let took = options.clock.now().since(now);
+        let mut report = match answer {
+            Ok(report) => {
+                shared.counters.answer_s.observe(seconds(took));
+                write(now, &report)
+            }
             Err(error) => {
+                shared.counters.unanswered.inc();
                 if reachable != Some(false) {
                     log::warn!(engine:% = options.engine; "{error}");
                 }
@@ -123,6 +135,7 @@
             reachable = Some(report.reachable);
         }
         report.followers = shared.followers.load(Ordering::Relaxed);
+        shared.counters.followers.set(report.followers.into());
         report.rumours = shared.rumours(now);
         reports.send_if_modified(|before| {
             if report.leaving != before.leaving {
@@ -178,6 +191,7 @@
 /// What both threads use.
 #[derive(Clone)]
 struct Shared {
+    counters: ObserverCounters,
     followers: Arc<AtomicU32>,
     suspects: Arc<Mutex<Suspects>>,
 }
@@ -236,6 +250,7 @@
         request: Request<v1::HoldLinkRequest>,
     ) -> Result<Response<Self::HoldLinkStream>, Status> {
         let entry = request.into_inner().entry;
+        self.shared.counters.turns.inc();
         let link = Arc::clone(&self.link);
         let turn = futures_util::stream::once(async move {
             let turn = link.acquire_owned().await;
--- a/crates/lentiltray/src/command/observer.rs
+++ b/crates/lentiltray/src/command/observer.rs
@@ -1,18 +1,28 @@
 //! `lentiltray observer`
 
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bpaf::Parser;
 use eyre::Context;
-use lentil_adapter::HttpEndpoints;
-use lentil_gateway::{Observer, ObserverOptions, Pool};
+use lentil_adapter::{HttpEndpoints, MetricsPage};
+use lentil_gateway::{
+    Connections, Observer, ObserverCounters, ObserverOptions, Pool, Stage, serve,
+};
 use lentil_settings::NodeRole;
-use lentil_shell::{BootClock, StopSignals};
+use lentil_shell::{BootClock, StopSignals, spawn_io};
+use tokio::sync::watch;
 
 use super::{load_node, settings_file};
 
+/// Connections to the metrics page.
+const PAGES_MAX: usize = 16;
+/// Idle time of connections to the metrics page.
+const IDLE: Duration = Duration::from_secs(20);
+
 /// Options of `lentiltray observer`.
 #[derive(Debug, Clone)]
 pub(crate) struct Options {
@@ -35,7 +45,13 @@
     };
     let mut signals = StopSignals::listen().context("listening to signals")?;
     let clock = BootClock::start();
+    let counters = ObserverCounters::default();
+    let metrics = TcpListener::bind(settings.metrics)
+        .and_then(|listener| listener.set_nonblocking(true).map(|()| listener))
+        .with_context(|| format!("listening at {}", settings.metrics))?;
+    let bound = metrics.local_addr().context("reading a bound address")?;
     let options = ObserverOptions {
+        counters: counters.clone(),
         listen: settings.listen,
         engine: settings.engine,
         clock,
@@ -44,8 +60,22 @@
         Rc::new(HttpEndpoints::new(Pool::default(), clock))
     })
     .context("starting the observer")?;
-    log::info!(name = node.name.as_str(), engine:% = settings.engine; "observer started");
+    let (_ending, stage) = watch::channel(Stage::Serving);
+    spawn_io("metrics", move || show(metrics, counters, stage))?;
+    log::info!(name = node.name.as_str(), engine:% = settings.engine, metrics:% = bound; "observer started");
     signals.wait();
     log::info!(name = node.name.as_str(); "observer stops");
     Ok(ExitCode::SUCCESS)
 }
+
+/// Shows the metrics until the process ends.
+async fn show(listener: TcpListener, counters: ObserverCounters, stage: watch::Receiver<Stage>) {
+    match tokio::net::TcpListener::from_std(listener) {
+        Ok(listener) => {
+            let page = Rc::new(MetricsPage::new(counters));
+            let connections = Rc::new(Connections::new(PAGES_MAX, IDLE));
+            serve(listener, page, connections, stage).await;
+        }
+        Err(error) => log::error!("showing metrics: {error}"),
+    }
+}
--- a/crates/lentiltray/tests/it/moved_streams.rs
+++ b/crates/lentiltray/tests/it/moved_streams.rs
@@ -131,3 +131,24 @@
     assert!(got.whole);
     assert_eq!(requests.len(), 1);
 }
+
+/// The observer shows what it does, and a word of changed settings does not end
+/// it.
+#[test]
+fn observer_pages() {
+    let engine = engine("i-1", &Arc::new(AtomicBool::new(false)), true);
+    let settings = format!(
+        "name: beside\nzone: z\nobserver:\n  listen: 127.0.0.1:0\n  engine: {}\n  \
+         metrics: 127.0.0.1:0\n",
+        engine.address()
+    );
+    let observer = crate::process::Program::start("observer", "observer_pages", &settings);
+    observer.wait_for_line("engine seen");
+    observer.signal("-HUP");
+    observer.wait_for_line("SIGHUP");
+    let mut line = crate::standin_http::Line::open(observer.address("metrics"));
+    line.send("GET /metrics HTTP/1.1\nHost: x", "");
+    let page = line.receive().unwrap().body;
+    assert!(page.contains("lentiltray_observer_engine_answer_seconds_count"));
+    assert_eq!(observer.stop(), Some(0));
+}
--- a/crates/lentiltray/tests/it/process.rs
+++ b/crates/lentiltray/tests/it/process.rs
@@ -59,8 +59,13 @@
     }
 
     pub(crate) fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Sends a signal, as `kill` spells it.
+    pub(crate) fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        let sent = Command::new("kill").args([name, &id]).status().unwrap();
         assert!(sent.success());
     }
 
