Go on at the source where a stopped run found no room

Cause: an order that stops a run can be refused for want of room at the other engine after the run has stopped. The engine then keeps the memory and names it, but the gateway waited for word of another engine, got none and broke the caller's stream. Ruled out: keeping the copy made before. It can be used once, at the other engine only, and lacks the last events; the source has all of it. Change: the run goes on at its source from the name in the refusal, and moves later to another engine. A copy under the same name is not freed, since that would free what the source keeps. Before: moved_streams::refused_after_stop failed (the stream broke off). After: it passes.

--- a/crates/gateway/src/mover.rs
+++ b/crates/gateway/src/mover.rs
@@ -183,11 +183,26 @@
                 let declined = self.declined.entry(run.key).or_default();
                 declined.push(endpoint);
                 self.plan.failed(now, run.key);
+                let kept = self.kept(error);
+                // Freeing a copy at its source frees all that has its name.
+                let copy = copy.filter(|copy| kept.as_ref() != Some(copy));
+                if let Some(memory) = kept {
+                    drop(word.send(Continuation::Back { memory }));
+                }
                 self.free(permit, copy);
             }
         }
     }
 
+    /// What the leaving engine keeps of a run that it stopped in vain.
+    fn kept(&self, error: CopyError) -> Option<Memory> {
+        let source = self.leaving.address;
+        match error {
+            CopyError::NoRoom { handle } => handle.map(|handle| Memory { source, handle }),
+            CopyError::NoRun | CopyError::Busy | CopyError::Unknown(_) => None,
+        }
+    }
+
     /// Frees a copy that nobody will use.
     fn free(&self, permit: Permit, copy: Option<Memory>) {
         let Some(memory) = copy else {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -215,7 +215,10 @@
         if let Some(word) = self.ticket.run.take_continuation() {
             match tokio::time::timeout(CONTINUATION_WAIT, word).await {
                 Ok(Ok(Continuation::From { permit, memory })) => {
-                    return self.go_on(permit, memory).await;
+                    return self.go_on(Some(permit), memory).await;
+                }
+                Ok(Ok(Continuation::Back { memory })) => {
+                    return self.go_on(None, memory).await;
                 }
                 Ok(Ok(Continuation::Ended) | Err(_)) | Err(_) => {}
             }
@@ -230,13 +233,15 @@
         self.resume().await
     }
 
-    /// Goes on from a copy of the run's memory; it is the same run.
-    async fn go_on(&mut self, permit: Permit, memory: Memory) -> After {
+    /// Goes on from the run's memory, at another engine or, without one, where it
+    /// was stopped; it is the same run.
+    async fn go_on(&mut self, other: Option<Permit>, memory: Memory) -> After {
         let resume = Resume {
             after: self.last,
             memory: Some(memory),
         };
-        let call = self.gateway.call(&self.job, &permit, Some(resume));
+        let permit = other.as_ref().unwrap_or(&self.permit);
+        let call = self.gateway.call(&self.job, permit, Some(resume));
         let endpoint = permit.place.endpoint.clone();
         match self.gateway.endpoints.send(call).await {
             Ok(reply) if reply.status.is_success() && reply.attestation == Attestation::Ran => {
@@ -245,7 +250,10 @@
                     self.last.unwrap_or(0)
                 ));
                 self.gateway.counters.moved("went_on");
-                self.take_over(permit, reply.body);
+                if let Some(other) = other {
+                    self.take_over(other);
+                }
+                self.read_on(reply.body);
                 After::GoesOn
             }
             Ok(reply) => {
@@ -274,17 +282,21 @@
         let opened = self.gateway.open(&self.job, Some(resume), self.made).await;
         match opened {
             Ok(opened) if opened.reply.status.is_success() => {
-                self.take_over(opened.permit, opened.reply.body);
+                self.take_over(opened.permit);
+                self.read_on(opened.reply.body);
                 After::GoesOn
             }
             Ok(_) | Err(_) => After::Lost,
         }
     }
 
-    fn take_over(&mut self, permit: Permit, body: LocalBoxStream<'static, Result<Bytes, Broken>>) {
+    fn take_over(&mut self, permit: Permit) {
         self.ticket.run.place.replace(permit.place.clone());
         permit.progress(self.made);
         self.permit = permit;
+    }
+
+    fn read_on(&mut self, body: LocalBoxStream<'static, Result<Bytes, Broken>>) {
         self.body = body;
         self.splitter.clear();
     }
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -25,6 +25,11 @@
         /// The copy.
         memory: Memory,
     },
+    /// It goes on at the engine that stopped it, which keeps its memory.
+    Back {
+        /// What that engine keeps.
+        memory: Memory,
+    },
     /// It had ended by itself.
     Ended,
 }
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod bad_requests;
 mod caller;
 mod confirmations;
+mod dropped_idle;
 mod engine_death;
 mod engine_orders;
 mod forwarded_requests;
--- a/crates/lentiltray/tests/it/moved_streams.rs
+++ b/crates/lentiltray/tests/it/moved_streams.rs
@@ -1,7 +1,7 @@
 //! Running generations that are moved off an engine that leaves.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -14,29 +14,45 @@
 /// Events of a whole stream.
 const EVENTS: u64 = 60;
 
+/// What an engine answers to orders to move its run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Moves {
+    /// Copies are complete.
+    Carried,
+    /// It knows no such run.
+    Unknown,
+    /// The first order that stops the run finds no room at the other engine.
+    FirstStopRefused,
+}
+
 /// An engine that can leave: it streams until it is told to stop a run.
-fn engine(name: &str, leaving: &Arc<AtomicBool>, moves: bool) -> Replica {
+fn engine(name: &str, leaving: &Arc<AtomicBool>, moves: Moves) -> Replica {
     let leaving = Arc::clone(leaving);
-    let stopped = Arc::new(AtomicBool::new(false));
+    let stops = Arc::new(AtomicU64::new(0));
     Replica::start(name, move |request, stream| {
         match (request.method.as_str(), request.target.as_str()) {
             ("GET", "/v1/report") => write(stream, &report(leaving.load(Ordering::SeqCst))),
-            ("POST", "/v1/kv-move") => {
-                let order: Value = serde_json::from_slice(&request.body).unwrap();
-                assert_eq!(order["id"], "r1");
-                if !moves {
-                    return write(stream, &framed(404, "", b"{}"));
-                }
-                if order["last"] == true {
-                    stopped.store(true, Ordering::SeqCst);
-                }
-                write(stream, &framed(200, "", br#"{"handle":"h7","created":3}"#))
-            }
-            _ => generate(request, stream, &stopped),
+            ("POST", "/v1/kv-move") => write(stream, &carry_out(request, &stops, moves)),
+            _ => generate(request, stream, &stops),
         }
     })
 }
 
+/// The answer to an order to move the run.
+fn carry_out(request: &Request, earlier_stops: &AtomicU64, moves: Moves) -> Vec<u8> {
+    let order: Value = serde_json::from_slice(&request.body).unwrap();
+    assert_eq!(order["id"], "r1");
+    if moves == Moves::Unknown {
+        return framed(404, "", b"{}");
+    }
+    let stops = order["last"] == true;
+    let first_stop = stops && earlier_stops.fetch_add(1, Ordering::SeqCst) == 0;
+    if first_stop && moves == Moves::FirstStopRefused {
+        return framed(503, "", br#"{"handle":"h6"}"#);
+    }
+    framed(200, "", br#"{"handle":"h7","created":3}"#)
+}
+
 fn report(leaving: bool) -> Vec<u8> {
     let mut report = json!({"stage": "combined", "models": [], "busy": false, "sequence": 1,
         "waiting": 0, "running": 1, "kvUsed": 400, "kvTotal": 34000, "handles": 0,
@@ -48,7 +64,8 @@
     framed(200, "", report.to_string().as_bytes())
 }
 
-fn generate(request: &Request, stream: &mut std::net::TcpStream, stopped: &AtomicBool) -> After {
+fn generate(request: &Request, stream: &mut std::net::TcpStream, stops: &AtomicU64) -> After {
+    let stops_before = stops.load(Ordering::SeqCst);
     let first = request
         .header("last-event-id")
         .map_or(0, |last| last.parse::<u64>().unwrap() + 1);
@@ -58,7 +75,7 @@
     );
     write(stream, head.as_bytes());
     for number in first..EVENTS {
-        if stopped.load(Ordering::SeqCst) {
+        if stops.load(Ordering::SeqCst) != stops_before {
             // Broken off within an event, as an engine that stops may.
             write(stream, &chunk(&format!("id: {number}\nda")));
             return After::Close;
@@ -76,7 +93,7 @@
 }
 
 /// Lets the engine that took the request leave, and gives the answer.
-fn leave_during(test: &str, moves: bool) -> (crate::standin_http::Got, Vec<Request>) {
+fn leave_during(test: &str, moves: Moves) -> (crate::standin_http::Got, Vec<Request>) {
     let flags = [
         Arc::new(AtomicBool::new(false)),
         Arc::new(AtomicBool::new(false)),
@@ -109,7 +126,7 @@
 /// second goes on from the first one's memory.
 #[test]
 fn moved_whole() {
-    let (got, requests) = leave_during("moved_whole", true);
+    let (got, requests) = leave_during("moved_whole", Moves::Carried);
     assert_eq!(got.body, whole());
     assert!(got.whole);
     assert_eq!(got.header("response-signature"), Some("s.r1"));
@@ -126,17 +143,31 @@
 /// A run that the engine no longer knows has ended by itself.
 #[test]
 fn ended_in_place() {
-    let (got, requests) = leave_during("ended_in_place", false);
+    let (got, requests) = leave_during("ended_in_place", Moves::Unknown);
     assert_eq!(got.body, whole());
     assert!(got.whole);
     assert_eq!(requests.len(), 1);
 }
 
+/// A run that was stopped, and that the other engine then has no room for, goes
+/// on at the engine that keeps its memory, and moves later.
+#[test]
+fn refused_after_stop() {
+    let (got, requests) = leave_during("refused_after_stop", Moves::FirstStopRefused);
+    assert_eq!(got.body, whole());
+    assert!(got.whole);
+    let from: Vec<_> = requests
+        .iter()
+        .filter_map(|request| request.header("kv-from"))
+        .collect();
+    assert!(from.iter().any(|from| from.ends_with("/h6")), "{from:?}");
+}
+
 /// The observer shows what it does, and a word of changed settings does not end
 /// it.
 #[test]
 fn observer_pages() {
-    let engine = engine("i-1", &Arc::new(AtomicBool::new(false)), true);
+    let engine = engine("i-1", &Arc::new(AtomicBool::new(false)), Moves::Carried);
     let settings = format!(
         "name: beside\nzone: z\nobserver:\n  listen: 127.0.0.1:0\n  engine: {}\n  \
          metrics: 127.0.0.1:0\n",
