Log where a generation is sent and what request comes again

Cause: a generation that is under way when its gateway is killed left no line, and a caller's second attempt could not be told from another request, since each attempt has its own id. Change: a line when a generation is sent, with its endpoint and wait; the line that ends a request names its fingerprint, which a repeat shares.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -171,6 +171,7 @@
     pub(crate) fn log_end(&self, gateway: &Gateway, outcome: &str) {
         log::info!(
             request:% = self.request.id,
+            fingerprint:% = self.fingerprint,
             route = self.route.name.as_str(),
             service:% = self.service,
             version:% = self.version,
@@ -247,6 +248,10 @@
         job.excludes(endpoint.clone());
         job.begin_sending();
         let sent_at = self.now();
+        if is_stream(&job.route) {
+            let waited_ms = sent_at.since(job.arrived).as_ms();
+            log::info!(request:% = job.request.id, endpoint:% = endpoint, waited_ms = waited_ms; "generation sent");
+        }
         let call = self.call(job, permit, resume);
         let answer = self.endpoints.send(call).await;
         let took_ms = self.now().since(sent_at).as_ms();
