Close connections that carry no further request

Cause: what may not run twice had got connections of its own, which were then kept idle for lookups. Endpoints bear a number of connections from all gateways together and reset what lies beyond; with 27 gateways the idle ones filled it, and confirmations ended with 502 untried. Change: a connection of one request is closed after its answer.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -41,7 +41,8 @@
 /// Probes without an answer after which a connection is dead.
 const PROBES_MAX: u32 = 6;
 
-/// Whether an idle connection may carry a request.
+/// Whether an idle connection may carry a request, and its connection others
+/// after it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reuse {
     /// Any that its peer still keeps.
@@ -134,7 +135,7 @@
     ) -> Result<Taken, PoolError> {
         let mut request = request;
         while let Some(connection) = self.take_idle(peer, reuse) {
-            match self.exchange(peer, connection, request).await {
+            match self.exchange(peer, connection, request, reuse).await {
                 Ok(taken) => return Ok(taken),
                 Err((error, Some(unsent))) => {
                     log::debug!(peer:% = peer; "an idle connection was closed: {error}");
@@ -144,7 +145,7 @@
             }
         }
         let connection = connect(peer).await.inspect_err(|_| self.forget(peer))?;
-        self.exchange(peer, connection, request)
+        self.exchange(peer, connection, request, reuse)
             .await
             .map_err(|(error, unsent)| match (error, unsent) {
                 (PoolError::Broken { peer, reason }, Some(_)) => {
@@ -181,6 +182,7 @@
         peer: SocketAddr,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
+        reuse: Reuse,
     ) -> Result<Taken, (PoolError, Option<Request<Full<Bytes>>>)> {
         let answer = connection.sender.try_send_request(request).await;
         let answer = answer.map_err(|mut error| {
@@ -188,7 +190,7 @@
             let reason = error.into_error().to_string();
             (PoolError::Broken { peer, reason }, unsent)
         })?;
-        Ok(self.receive(peer, connection, answer))
+        Ok(self.receive(peer, connection, answer, reuse))
     }
 
     fn receive(
@@ -196,9 +198,15 @@
         peer: SocketAddr,
         connection: Connection,
         answer: Response<Incoming>,
+        reuse: Reuse,
     ) -> Taken {
         let (head, body) = answer.into_parts();
-        let keep = keep_for(&head.headers);
+        // Peers bear a number of connections; one that nobody would choose
+        // among the idle ones is closed.
+        let keep = match reuse {
+            Reuse::Any => keep_for(&head.headers),
+            Reuse::Never => None,
+        };
         let state = Some((body, connection, self.clone()));
         let body = futures_util::stream::unfold(state, move |state| async move {
             let (mut body, connection, pool) = state?;
--- a/crates/lentiltray/tests/it/dropped_idle.rs
+++ b/crates/lentiltray/tests/it/dropped_idle.rs
@@ -6,7 +6,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use crate::platform_site::{Replica, Site, good, signed, write};
+use crate::platform_site::{Replica, Site, good, signed, until, write};
 use crate::standin_http::{After, Request, framed};
 
 /// Time between two requests, in which a connection idles.
@@ -82,3 +82,18 @@
     let statuses = statuses("idle_note", "/note/a", "writers", Reused::Cut);
     assert_eq!(statuses, [200; 5]);
 }
+
+/// Endpoints bear a number of connections from all gateways together: those that
+/// carry no further request are closed.
+#[test]
+fn own_connections_closed() {
+    let replica = Replica::start("i-1", good);
+    let site = Site::start("own_closed", &[(&replica, "desk")]);
+    for number in 0..5 {
+        let got = site.call("/confirm/a", &format!("r{number}"), "").unwrap();
+        assert_eq!(got.status, 200);
+    }
+    until("the connections are closed", || {
+        replica.open_connections() == 0
+    });
+}
--- a/crates/lentiltray/tests/it/platform_site.rs
+++ b/crates/lentiltray/tests/it/platform_site.rs
@@ -44,6 +44,11 @@
         self.server.address
     }
 
+    /// Connections that are open to it now.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.server.open_connections()
+    }
+
     /// Callers' requests that arrived, without questions of the system.
     pub(crate) fn requests(&self) -> Vec<Request> {
         let seen = self.seen.lock().unwrap();
--- a/crates/lentiltray/tests/it/standin_http.rs
+++ b/crates/lentiltray/tests/it/standin_http.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// A request as it arrived.
@@ -49,6 +49,7 @@
 pub(crate) struct Server {
     pub(crate) address: SocketAddr,
     ended: Arc<AtomicBool>,
+    open: Arc<AtomicUsize>,
 }
 
 impl Server {
@@ -57,6 +58,8 @@
         let address = listener.local_addr().unwrap();
         let ended = Arc::new(AtomicBool::new(false));
         let seen = Arc::clone(&ended);
+        let open = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&open);
         std::thread::spawn(move || {
             for stream in listener.incoming() {
                 if seen.load(Ordering::Relaxed) {
@@ -68,10 +71,24 @@
                     address,
                     ended: Arc::clone(&seen),
                 };
-                std::thread::spawn(move || converse(stream, &*handler, &crash));
+                let open = Arc::clone(&counted);
+                open.fetch_add(1, Ordering::SeqCst);
+                std::thread::spawn(move || {
+                    converse(stream, &*handler, &crash);
+                    open.fetch_sub(1, Ordering::SeqCst);
+                });
             }
         });
-        Self { address, ended }
+        Self {
+            address,
+            ended,
+            open,
+        }
+    }
+
+    /// Connections that are open now.
+    pub(crate) fn open_connections(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
     }
 }
 
