Listen to signals before anything else

The handlers were installed after the settings had been read. Ruled out: the handler itself; observer_pages sends SIGHUP later, and the process lives. Change: main makes StopSignals first and hands it to the subcommand. The gateway's settings are read again on the main thread, no longer on the one that serves callers. Before: stop_signals::hangup_at_start failed (the process ended). After: it passes for gateway and observer.

--- a/crates/lentiltray/src/command/entry.rs
+++ b/crates/lentiltray/src/command/entry.rs
@@ -6,6 +6,7 @@
 use bpaf::Parser;
 use eyre::Context;
 use lentil_entry::Entry;
+use lentil_shell::StopSignals;
 
 use super::{load_settings, prepare, settings_file};
 
@@ -21,12 +22,12 @@
 }
 
 /// Runs until the process is told to stop.
-pub(crate) fn execute(options: &Options) -> eyre::Result<ExitCode> {
+pub(crate) fn execute(options: &Options, mut signals: StopSignals) -> eyre::Result<ExitCode> {
     let settings = match load_settings(&options.settings) {
         Ok(settings) => settings,
         Err(code) => return Ok(code),
     };
-    let (mut signals, grace) = prepare(&settings)?;
+    let grace = prepare(&settings)?;
     let entry = Entry::start(&settings).context("starting the entry")?;
     log::info!(
         name:% = settings.name,
--- a/crates/lentiltray/src/command/gateway.rs
+++ b/crates/lentiltray/src/command/gateway.rs
@@ -18,10 +18,9 @@
     GatewayOptions, Handler, Pool, Stage, serve,
 };
 use lentil_settings::{Node, NodeRole};
-use lentil_shell::{BootClock, spawn_io};
+use lentil_shell::{Asked, BootClock, StopSignals, spawn_io};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{oneshot, watch};
 
 use super::{load_node, settings_file};
 
@@ -52,7 +51,7 @@
 }
 
 /// Runs until the process is told to stop.
-pub(crate) fn execute(options: &Options) -> eyre::Result<ExitCode> {
+pub(crate) fn execute(options: &Options, mut signals: StopSignals) -> eyre::Result<ExitCode> {
     let node = match load_node(&options.settings) {
         Ok(node) => node,
         Err(code) => return Ok(code),
@@ -60,15 +59,22 @@
     let NodeRole::Gateway(settings) = node.role.clone() else {
         eyre::bail!("the settings have no section gateway");
     };
+    let (stop, told_to_stop) = oneshot::channel();
     let serving = spawn_io("callers", {
-        let path = options.settings.clone();
+        let node = node.clone();
         move || async move {
-            if let Err(error) = run(node, settings, path).await {
+            if let Err(error) = run(node, settings, told_to_stop).await {
                 log::error!("the gateway ends: {error:#}");
                 std::process::exit(1);
             }
         }
     })?;
+    while signals.wait_any() == Asked::Reload {
+        reload(&options.settings, &node);
+    }
+    if stop.send(()).is_err() {
+        log::warn!("callers were served no more before the signal to stop");
+    }
     serving.join()?;
     Ok(ExitCode::SUCCESS)
 }
@@ -138,9 +144,11 @@
     Rc::new(Connections::new(PAGES_MAX, IDLE_DEFAULT))
 }
 
-async fn run(node: Node, settings: lentil_settings::Gateway, path: PathBuf) -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("listening to SIGTERM")?;
-    let mut hangup = signal(SignalKind::hangup()).context("listening to SIGHUP")?;
+async fn run(
+    node: Node,
+    settings: lentil_settings::Gateway,
+    told_to_stop: oneshot::Receiver<()>,
+) -> eyre::Result<()> {
     let clock = BootClock::start();
     let counters = Counters::default();
     let gateway = Gateway::new(GatewayOptions {
@@ -185,12 +193,7 @@
         metrics:% = metrics.bound;
         "gateway started"
     );
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => reload(&path, &node),
-        }
-    }
+    told_to_stop.await.context("waiting for the end")?;
     log::info!(name = node.name.as_str(), connections_drain_ms = NOTICE.as_millis(); "gateway stops");
     let end =
         tokio::time::Instant::now() + Duration::from(settings.grace).saturating_sub(END_MARGIN);
--- a/crates/lentiltray/src/command/mod.rs
+++ b/crates/lentiltray/src/command/mod.rs
@@ -12,7 +12,7 @@
 use bpaf::Parser;
 use lentil_core::Span;
 use lentil_settings::{LogFormat, Node, Process, Settings};
-use lentil_shell::{StopSignals, start_logs, start_traces};
+use lentil_shell::{start_logs, start_traces};
 
 /// Exit code of a process whose settings are wrong.
 const WRONG_SETTINGS: u8 = 2;
@@ -43,10 +43,10 @@
     Ok(node)
 }
 
-/// Starts logs and traces as the settings say, and listens to signals.
-fn prepare(settings: &Settings) -> eyre::Result<(StopSignals, Span)> {
+/// Starts logs and traces as the settings say, and gives the grace time.
+fn prepare(settings: &Settings) -> eyre::Result<Span> {
     let process = Process::try_from(settings)?;
     start_logs(process.log_format, process.log_level);
     start_traces(&process.trace);
-    Ok((StopSignals::listen()?, process.grace))
+    Ok(process.grace)
 }
--- a/crates/lentiltray/src/command/observer.rs
+++ b/crates/lentiltray/src/command/observer.rs
@@ -35,7 +35,7 @@
 }
 
 /// Runs until the process is told to stop.
-pub(crate) fn execute(options: &Options) -> eyre::Result<ExitCode> {
+pub(crate) fn execute(options: &Options, mut signals: StopSignals) -> eyre::Result<ExitCode> {
     let node = match load_node(&options.settings) {
         Ok(node) => node,
         Err(code) => return Ok(code),
@@ -43,7 +43,6 @@
     let NodeRole::Observer(settings) = node.role else {
         eyre::bail!("the settings have no section observer");
     };
-    let mut signals = StopSignals::listen().context("listening to signals")?;
     let clock = BootClock::start();
     let counters = ObserverCounters::default();
     let metrics = TcpListener::bind(settings.metrics)
--- a/crates/lentiltray/src/main.rs
+++ b/crates/lentiltray/src/main.rs
@@ -5,6 +5,8 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser};
+use eyre::Context;
+use lentil_shell::StopSignals;
 
 use crate::command::{agent, check, entry, gateway, observer};
 
@@ -50,11 +52,12 @@
 }
 
 fn main() -> eyre::Result<ExitCode> {
+    let signals = StopSignals::listen().context("listening to signals")?;
     match options().run() {
-        Command::Entry(options) => entry::execute(&options),
-        Command::Agent(options) => agent::execute(&options),
+        Command::Entry(options) => entry::execute(&options, signals),
+        Command::Agent(options) => agent::execute(&options, signals),
         Command::Check(options) => Ok(check::execute(&options)),
-        Command::Gateway(options) => gateway::execute(&options),
-        Command::Observer(options) => observer::execute(&options),
+        Command::Gateway(options) => gateway::execute(&options, signals),
+        Command::Observer(options) => observer::execute(&options, signals),
     }
 }
--- a/crates/lentiltray/tests/it/process.rs
+++ b/crates/lentiltray/tests/it/process.rs
@@ -1,15 +1,19 @@
 //! Programs of the daemon run as processes of their own.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, channel};
+use std::time::Duration;
 
 use lentil_fakes::{EngineOptions, FakeEngine, FakeHostList, FakeLog, HostListOptions, LogOptions};
 use lentil_site::MODEL;
 use serde_json::Value;
 
+/// Time in which a signal takes effect.
+const HANGUP_TIME: Duration = Duration::from_millis(100);
+
 /// A running program, killed when it is dropped.
 pub(crate) struct Program {
     child: Child,
@@ -21,8 +25,30 @@
 impl Program {
     /// Starts a program with the settings of `text`.
     pub(crate) fn start(role: &str, name: &str, text: &str) -> Self {
-        let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.yaml"));
+        let file = settings_file(name);
         std::fs::write(&file, text).unwrap();
+        Self::spawn(role, &file, |_| {})
+    }
+
+    /// Starts a program that gets SIGHUP while it reads its settings.
+    pub(crate) fn start_hung_up(role: &str, name: &str, text: &str) -> Self {
+        let pipe = settings_file(name);
+        drop(std::fs::remove_file(&pipe));
+        let made = Command::new("mkfifo").arg(&pipe).status().unwrap();
+        assert!(made.success());
+        Self::spawn(role, &pipe, |child| {
+            // Opens once the program has opened it too.
+            let mut settings = std::fs::File::create(&pipe).unwrap();
+            // What is read again later is an ordinary file.
+            std::fs::remove_file(&pipe).unwrap();
+            std::fs::write(&pipe, text).unwrap();
+            signal(child, "-HUP");
+            std::thread::sleep(HANGUP_TIME);
+            settings.write_all(text.as_bytes()).unwrap();
+        })
+    }
+
+    fn spawn(role: &str, file: &Path, while_starting: impl FnOnce(&Child)) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_lentiltray"))
             .args([role, "--settings"])
             .arg(file)
@@ -36,6 +62,7 @@
                 let _ = sender.send(serde_json::from_str(&line).unwrap_or(Value::String(line)));
             }
         });
+        while_starting(&child);
         let started = wait_for(&lines, "started");
         Self {
             child,
@@ -64,9 +91,7 @@
 
     /// Sends a signal, as `kill` spells it.
     pub(crate) fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let sent = Command::new("kill").args([name, &id]).status().unwrap();
-        assert!(sent.success());
+        signal(&self.child, name);
     }
 
     /// Whether one of the program's descriptors belongs to an io_uring.
@@ -95,6 +120,16 @@
     }
 }
 
+fn settings_file(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.yaml"))
+}
+
+fn signal(child: &Child, name: &str) {
+    let id = child.id().to_string();
+    let sent = Command::new("kill").args([name, &id]).status().unwrap();
+    assert!(sent.success());
+}
+
 fn wait_for(lines: &Receiver<Value>, part: &str) -> Value {
     let mut seen = Vec::new();
     for line in lines {
--- a/crates/lentiltray/tests/it/stop_signals.rs
+++ b/crates/lentiltray/tests/it/stop_signals.rs
@@ -2,7 +2,7 @@
 //! time, does not.
 
 use crate::caller::{Caller, block_on, completion, read_events, texts};
-use crate::process::{ANONYMOUS, Programs};
+use crate::process::{ANONYMOUS, Program, Programs};
 
 /// Exit code of a process ended before its work had finished.
 const ENDED_EARLY: i32 = 3;
@@ -61,3 +61,17 @@
         assert_eq!(programs.entry.wait().code(), Some(ENDED_EARLY));
     });
 }
+
+/// Settings may change at any moment, also while a process starts.
+#[test]
+fn hangup_at_start() {
+    let gateway = "name: at-start\nzone: z\ngateway:\n  callers: 127.0.0.1:0\n  \
+        readiness: 127.0.0.1:0\n  metrics: 127.0.0.1:0\n  store: 127.0.0.1:1\n  \
+        observer_port: 1\n";
+    let observer = "name: at-start\nzone: z\nobserver:\n  listen: 127.0.0.1:0\n  \
+        engine: 127.0.0.1:1\n  metrics: 127.0.0.1:0\n";
+    let gateway = Program::start_hung_up("gateway", "hangup-gateway", gateway);
+    let observer = Program::start_hung_up("observer", "hangup-observer", observer);
+    assert_eq!(gateway.stop(), Some(0));
+    assert_eq!(observer.stop(), Some(0));
+}
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -28,6 +28,6 @@
 pub use peer_key::{CheckKey, PeerKeyError, ShowKey};
 pub use readiness::Readiness;
 pub use ring::{Full, Inbox, Outbox, ring};
-pub use stop::StopSignals;
+pub use stop::{Asked, StopSignals};
 pub use tls::{TlsError, listener_tls, peer_client_tls, peer_server_tls};
 pub use trace::{Hop, Stages, start_traces, trace_context};
--- a/crates/shell/src/stop.rs
+++ b/crates/shell/src/stop.rs
@@ -11,7 +11,17 @@
 /// Exit code of a process that was ended before its work had finished.
 const ENDED_EARLY: i32 = 3;
 
-/// Listens to SIGTERM and SIGINT, and outlives SIGHUP.
+/// What a signal asks of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asked {
+    /// To stop.
+    Stop,
+    /// To read its settings again.
+    Reload,
+}
+
+/// Listens to SIGTERM, SIGINT and SIGHUP. Without it each of them ends the
+/// process, so it is made before anything else.
 #[derive(Debug)]
 pub struct StopSignals {
     runtime: Runtime,
@@ -43,21 +53,24 @@
         })
     }
 
-    /// Waits for a signal that stops the process.
-    pub fn wait(&mut self) {
+    /// Waits for a signal.
+    pub fn wait_any(&mut self) -> Asked {
         let (terminate, interrupt) = (&mut self.terminate, &mut self.interrupt);
         let hangup = &mut self.hangup;
         self.runtime.block_on(async {
-            loop {
-                tokio::select! {
-                    _ = terminate.recv() => return,
-                    _ = interrupt.recv() => return,
-                    _ = hangup.recv() => {
-                        log::info!("SIGHUP: changed settings are applied at the next start");
-                    }
-                }
+            tokio::select! {
+                _ = terminate.recv() => Asked::Stop,
+                _ = interrupt.recv() => Asked::Stop,
+                _ = hangup.recv() => Asked::Reload,
             }
-        });
+        })
+    }
+
+    /// Waits for a signal that stops the process.
+    pub fn wait(&mut self) {
+        while self.wait_any() == Asked::Reload {
+            log::info!("SIGHUP: changed settings are applied at the next start");
+        }
     }
 
     /// Ends the process at a second signal, or when `grace` has passed.
