--- a/crates/lentiltray/tests/it/process.rs
+++ b/crates/lentiltray/tests/it/process.rs
@@ -18,6 +18,8 @@
 pub(crate) struct Program {
     child: Child,
     lines: Receiver<Value>,
+    /// Lines that were written before it had started.
+    before_start: Vec<Value>,
     /// What it said when it had started.
     pub(crate) started: Value,
 }
@@ -63,10 +65,12 @@
             }
         });
         while_starting(&child);
-        let started = wait_for(&lines, "started");
+        let mut before_start = Vec::new();
+        let started = wait_for(&lines, "started", &mut before_start);
         Self {
             child,
             lines,
+            before_start,
             started,
         }
     }
@@ -80,9 +84,12 @@
             .unwrap()
     }
 
-    /// Waits for a log line.
+    /// Waits for a log line, which may also have come before the start.
     pub(crate) fn wait_for_line(&self, part: &str) -> Value {
-        wait_for(&self.lines, part)
+        let early = self.before_start.iter().find(|line| holds(line, part));
+        early
+            .cloned()
+            .unwrap_or_else(|| wait_for(&self.lines, part, &mut Vec::new()))
     }
 
     pub(crate) fn terminate(&self) {
@@ -130,14 +137,17 @@
     assert!(sent.success());
 }
 
-fn wait_for(lines: &Receiver<Value>, part: &str) -> Value {
-    let mut seen = Vec::new();
+fn holds(line: &Value, part: &str) -> bool {
+    line["message"].as_str().unwrap_or("").contains(part)
+}
+
+/// The first line that holds `part`; those before it are added to `seen`.
+fn wait_for(lines: &Receiver<Value>, part: &str, seen: &mut Vec<Value>) -> Value {
     for line in lines {
-        let message = line["message"].as_str().unwrap_or("").to_owned();
-        seen.push(line.clone());
-        if message.contains(part) {
+        if holds(&line, part) {
             return line;
         }
+        seen.push(line);
     }
     panic!("no line with {part:?} among {seen:?}");
 }
