Copy a run to an engine whose link is free

Cause: on the grown site 8 engines leave at once, and a third of the copies met another one at their destination. Ruled out: copies between zones (none among those alone), room (6 of 233 copies refused), notice (1.6 s is enough for 7 copies of 0.2 s). Change: a copy takes a turn at the receiving engine's observer too; where that is not to be had within 25 ms the next engine is asked, up to three. Before: moved_streams::goes_to_free_link failed with the step left out (the run went to the busy link).

--- a/crates/gateway/src/mover.rs
+++ b/crates/gateway/src/mover.rs
@@ -10,11 +10,15 @@
 use crate::endpoints::{CopyError, CopyOrder, Memory};
 use crate::gateway::{Gateway, Permit};
 use crate::runs::{Continuation, Run, RunKey};
-use crate::turns::Turns;
+use crate::turns::{Turn, Turns};
 
 /// How long after its expected end an engine may still be there.
 const AFTER_END: Span = Span::from_ms(300);
 
+/// Engines that are asked whether their links are free before a copy is sent to
+/// the first of them anyway.
+const RECEIVERS_ASKED: usize = 3;
+
 /// One leaving engine.
 struct Mover {
     gateway: Rc<Gateway>,
@@ -67,8 +71,28 @@
             .collect()
     }
 
-    /// A place for a run's memory at another engine.
-    fn find_target(&self, run: &Run) -> Option<Permit> {
+    /// A place for a run's memory at an engine whose link is free, if there is one:
+    /// copies that meet at an engine take as long as all of them together, and
+    /// the leaving engine's link waits for them.
+    async fn find_receiver(&self, run: &Run) -> Option<(Permit, Option<Turn>)> {
+        let mut busy = Vec::new();
+        let mut first = None;
+        for _ in 0..RECEIVERS_ASKED {
+            let Some(permit) = self.find_target(run, &busy) else {
+                break;
+            };
+            let mut turns = self.gateway.turns_at(permit.place.address);
+            if let Some(turn) = turns.hold_soon(&self.gateway).await {
+                return Some((permit, Some(turn)));
+            }
+            busy.push(permit.place.endpoint.clone());
+            first.get_or_insert(permit);
+        }
+        first.map(|permit| (permit, None))
+    }
+
+    /// A place for a run's memory at another engine than these.
+    fn find_target(&self, run: &Run, busy: &[EndpointId]) -> Option<Permit> {
         let need = Need {
             service: run.service.clone(),
             generation: Some(GenerationNeed {
@@ -80,6 +104,7 @@
         };
         let mut tried = self.declined.get(&run.key).cloned().unwrap_or_default();
         tried.push(self.leaving.endpoint.clone());
+        tried.extend_from_slice(busy);
         let permit = self
             .gateway
             .try_place(self.gateway.now(), &need, &tried)
@@ -108,7 +133,12 @@
         if run.place.borrow().endpoint != self.leaving.endpoint {
             return;
         }
-        let Some(permit) = self.find_target(&run) else {
+        let receiver = if copies_first {
+            self.find_receiver(&run).await
+        } else {
+            self.find_target(&run, &[]).map(|permit| (permit, None))
+        };
+        let Some((permit, _receiving)) = receiver else {
             self.gateway.counters.moved("no_room");
             log::info!(request:% = run.request; "no engine has room for a run that must move");
             self.declined.remove(&key);
--- a/crates/gateway/src/turns.rs
+++ b/crates/gateway/src/turns.rs
@@ -15,6 +15,9 @@
 const LAST_CHANCE: Span = Span::from_ms(250);
 /// Shortest wait for a turn.
 const WAIT_LEAST: Span = Span::from_ms(30);
+/// Longest wait for a turn at an engine that would receive a copy; another
+/// engine's link is probably free.
+const RECEIVER_WAIT: Span = Span::from_ms(25);
 /// Longest wait for a connection to an observer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -51,6 +54,16 @@
     /// in time.
     pub(crate) async fn hold(&mut self, gateway: &Gateway, gone_at: Time) -> Option<Turn> {
         let until = (gone_at - LAST_CHANCE).max(gateway.now() + WAIT_LEAST);
+        self.hold_until(gateway, until).await
+    }
+
+    /// Takes a turn that is to be had soon.
+    pub(crate) async fn hold_soon(&mut self, gateway: &Gateway) -> Option<Turn> {
+        self.hold_until(gateway, gateway.now() + RECEIVER_WAIT)
+            .await
+    }
+
+    async fn hold_until(&mut self, gateway: &Gateway, until: Time) -> Option<Turn> {
         let client = self.client.as_mut()?;
         let request = v1::HoldLinkRequest {
             entry: gateway.name().to_owned(),
--- a/crates/lentiltray/tests/it/moved_streams.rs
+++ b/crates/lentiltray/tests/it/moved_streams.rs
@@ -1,12 +1,16 @@
 //! Running generations that are moved off an engine that leaves.
 
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use lentil_wire::v1;
+use lentil_wire::v1::observer_client::ObserverClient;
 use serde_json::{Value, json};
 
 use crate::platform_site::{Replica, Site, signed, write};
+use crate::process::Program;
 use crate::standin_http::{After, Request, chunk, framed};
 
 /// Time between two events of the stand-in.
@@ -27,11 +31,22 @@
 
 /// An engine that can leave: it streams until it is told to stop a run.
 fn engine(name: &str, leaving: &Arc<AtomicBool>, moves: Moves) -> Replica {
+    engine_at(Ipv4Addr::LOCALHOST, name, 400, leaving, moves)
+}
+
+/// The same at another address, with this many tokens in its memory.
+fn engine_at(
+    host: Ipv4Addr,
+    name: &str,
+    used: u32,
+    leaving: &Arc<AtomicBool>,
+    moves: Moves,
+) -> Replica {
     let leaving = Arc::clone(leaving);
     let stops = Arc::new(AtomicU64::new(0));
-    Replica::start(name, move |request, stream| {
+    Replica::start_at(host, name, move |request, stream| {
         match (request.method.as_str(), request.target.as_str()) {
-            ("GET", "/v1/report") => write(stream, &report(leaving.load(Ordering::SeqCst))),
+            ("GET", "/v1/report") => write(stream, &report(used, leaving.load(Ordering::SeqCst))),
             ("POST", "/v1/kv-move") => write(stream, &carry_out(request, &stops, moves)),
             _ => generate(request, stream, &stops),
         }
@@ -53,9 +68,9 @@
     framed(200, "", br#"{"handle":"h7","created":3}"#)
 }
 
-fn report(leaving: bool) -> Vec<u8> {
+fn report(used: u32, leaving: bool) -> Vec<u8> {
     let mut report = json!({"stage": "combined", "models": [], "busy": false, "sequence": 1,
-        "waiting": 0, "running": 1, "kvUsed": 400, "kvTotal": 34000, "handles": 0,
+        "waiting": 0, "running": 1, "kvUsed": used, "kvTotal": 34000, "handles": 0,
         "state": "ready", "born": 7});
     if leaving {
         report["state"] = json!("draining");
@@ -163,6 +178,83 @@
     assert!(from.iter().any(|from| from.ends_with("/h6")), "{from:?}");
 }
 
+/// An observer beside an engine.
+fn observer(test: &str, engine: &Replica, port: u16) -> Program {
+    let address = engine.address();
+    let settings = format!(
+        "name: {test}\nzone: z\nobserver:\n  listen: {}:{port}\n  engine: {address}\n  \
+         metrics: 127.0.0.1:0\n",
+        address.ip()
+    );
+    let name = format!("{test}-{}", address.ip());
+    let observer = Program::start("observer", &name, &settings);
+    observer.wait_for_line("engine seen");
+    observer
+}
+
+/// A port that the system gives out at one of this host's addresses.
+fn free_port(host: Ipv4Addr) -> u16 {
+    let listener = std::net::TcpListener::bind((host, 0)).unwrap();
+    listener.local_addr().unwrap().port()
+}
+
+/// Holds the link of an engine as another gateway would.
+async fn hold_link(engine: &Replica, port: u16) -> tonic::Streaming<v1::LinkGranted> {
+    let observer = format!("http://{}:{port}", engine.address().ip());
+    let mut client = ObserverClient::connect(observer).await.unwrap();
+    let entry = "another".to_owned();
+    let held = client.hold_link(v1::HoldLinkRequest { entry }).await;
+    let mut held = held.unwrap().into_inner();
+    held.message().await.unwrap();
+    held
+}
+
+/// Many engines leave at once, and copies that meet at an engine take as long as
+/// all of them together: a run goes where no other copy arrives, though another
+/// engine has more room.
+#[test]
+fn goes_to_free_link() {
+    let leaving = Arc::new(AtomicBool::new(false));
+    let stays = Arc::new(AtomicBool::new(false));
+    let host = |last| Ipv4Addr::new(127, 0, 0, last);
+    let engines = [
+        engine_at(host(2), "i-1", 0, &leaving, Moves::Carried),
+        engine_at(host(3), "i-2", 6_000, &stays, Moves::Carried),
+        engine_at(host(4), "i-3", 20_000, &stays, Moves::Carried),
+    ];
+    let port = free_port(host(2));
+    let test = "free_link";
+    let observers = engines
+        .each_ref()
+        .map(|engine| observer(test, engine, port));
+    let listed = engines.each_ref().map(|engine| (engine, "writers"));
+    let site = Site::start_observed(test, &listed, port);
+    let mut line = site.line();
+    let got = std::thread::scope(|scope| {
+        let caller = scope.spawn(move || {
+            let head = crate::platform_site::head("/report/a", "r1", "");
+            line.send(&head.replace("2500", "9000"), "hello");
+            line.receive().unwrap()
+        });
+        crate::platform_site::until("an engine has it", || !engines[0].requests().is_empty());
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        let held = runtime.block_on(hold_link(&engines[1], port));
+        leaving.store(true, Ordering::SeqCst);
+        let got = caller.join().unwrap();
+        drop(held);
+        got
+    });
+    drop(observers);
+    assert_eq!(got.body, whole());
+    assert_eq!(
+        engines.each_ref().map(|engine| engine.requests().len()),
+        [1, 0, 1]
+    );
+}
+
 /// The observer shows what it does, and a word of changed settings does not end
 /// it.
 #[test]
@@ -173,7 +265,7 @@
          metrics: 127.0.0.1:0\n",
         engine.address()
     );
-    let observer = crate::process::Program::start("observer", "observer_pages", &settings);
+    let observer = Program::start("observer", "observer_pages", &settings);
     observer.wait_for_line("engine seen");
     observer.signal("-HUP");
     observer.wait_for_line("SIGHUP");
--- a/crates/lentiltray/tests/it/platform_site.rs
+++ b/crates/lentiltray/tests/it/platform_site.rs
@@ -1,7 +1,7 @@
 //! A gateway as a process of its own, between stand-ins of the platform.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -26,6 +26,15 @@
     pub(crate) fn start(
         name: &str,
         handler: impl Fn(&Request, &mut TcpStream) -> After + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_at(Ipv4Addr::LOCALHOST, name, handler)
+    }
+
+    /// At one of this host's own addresses.
+    pub(crate) fn start_at(
+        host: Ipv4Addr,
+        name: &str,
+        handler: impl Fn(&Request, &mut TcpStream) -> After + Send + Sync + 'static,
     ) -> Self {
         let seen = Arc::new(Mutex::new(Vec::new()));
         let kept = Arc::clone(&seen);
@@ -35,7 +44,7 @@
         };
         Self {
             name: name.to_owned(),
-            server: Server::start(Arc::new(handler)),
+            server: Server::start_at(host, Arc::new(handler)),
             seen,
         }
     }
@@ -115,7 +124,16 @@
 impl Site {
     /// Starts a gateway that knows the configuration and these endpoints.
     pub(crate) fn start(test: &str, endpoints: &[(&Replica, &str)]) -> Self {
-        let site = Self::start_unknowing(test, "");
+        Self::start_observed(test, endpoints, 1)
+    }
+
+    /// The same, where the endpoints' observers have this port.
+    pub(crate) fn start_observed(
+        test: &str,
+        endpoints: &[(&Replica, &str)],
+        observer_port: u16,
+    ) -> Self {
+        let site = Self::start_with(test, "", observer_port);
         site.store.put("keyed.op", "config", Some(&config(1)));
         for (replica, service) in endpoints {
             site.list(replica, service, "ready");
@@ -130,11 +148,15 @@
 
     /// Starts a gateway whose store holds nothing.
     pub(crate) fn start_unknowing(test: &str, bounds: &str) -> Self {
+        Self::start_with(test, bounds, 1)
+    }
+
+    fn start_with(test: &str, bounds: &str, observer_port: u16) -> Self {
         let store = Store::start();
         let settings = format!(
             "name: {test}\nzone: z\ngateway:\n  callers: 127.0.0.1:0\n  \
              readiness: 127.0.0.1:0\n  metrics: 127.0.0.1:0\n  store: {}\n  \
-             observer_port: 1\n  bounds: {{{bounds}}}\n",
+             observer_port: {observer_port}\n  bounds: {{{bounds}}}\n",
             store.address()
         );
         let gateway = Program::start("gateway", test, &settings);
--- a/crates/lentiltray/tests/it/standin_http.rs
+++ b/crates/lentiltray/tests/it/standin_http.rs
@@ -1,7 +1,7 @@
 //! A small HTTP server for stand-ins, which can also misbehave.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -54,7 +54,12 @@
 
 impl Server {
     pub(crate) fn start(handler: Arc<Handler>) -> Self {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        Self::start_at(Ipv4Addr::LOCALHOST, handler)
+    }
+
+    /// At one of this host's own addresses.
+    pub(crate) fn start_at(host: Ipv4Addr, handler: Arc<Handler>) -> Self {
+        let listener = TcpListener::bind((host, 0)).unwrap();
         let address = listener.local_addr().unwrap();
         let ended = Arc::new(AtomicBool::new(false));
         let seen = Arc::clone(&ended);
