--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -48,6 +48,9 @@
 pub struct GatewayBounds {
     /// Time after which a key that was taken away works nowhere.
     pub revoke: Span,
+    /// Longest wait for a turn at an engine that would receive a copy; another
+    /// engine's link is probably free.
+    pub receiver_wait: Span,
     /// Bounds of the table of endpoints.
     pub fleet: FleetBounds,
     /// The budget of repeats.
@@ -76,7 +79,7 @@
 pub struct Gateway {
     name: String,
     observer_port: u16,
-    bounds: GatewayBounds,
+    pub(crate) bounds: GatewayBounds,
     clock: BootClock,
     pub(crate) endpoints: Rc<dyn Endpoints>,
     pub(crate) counters: Counters,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -316,7 +316,7 @@
             .pause_s
             .observe(seconds(self.longest_pause));
         self.job.note(format!(
-            "{} tokens, longest pause {} ms",
+            "{} made, longest pause {} ms",
             self.made,
             self.longest_pause.as_ms()
         ));
--- a/crates/gateway/src/turns.rs
+++ b/crates/gateway/src/turns.rs
@@ -15,9 +15,6 @@
 const LAST_CHANCE: Span = Span::from_ms(250);
 /// Shortest wait for a turn.
 const WAIT_LEAST: Span = Span::from_ms(30);
-/// Longest wait for a turn at an engine that would receive a copy; another
-/// engine's link is probably free.
-const RECEIVER_WAIT: Span = Span::from_ms(25);
 /// Longest wait for a connection to an observer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -59,7 +56,7 @@
 
     /// Takes a turn that is to be had soon.
     pub(crate) async fn hold_soon(&mut self, gateway: &Gateway) -> Option<Turn> {
-        self.hold_until(gateway, gateway.now() + RECEIVER_WAIT)
+        self.hold_until(gateway, gateway.now() + gateway.bounds.receiver_wait)
             .await
     }
 
--- a/crates/lentiltray/src/command/gateway.rs
+++ b/crates/lentiltray/src/command/gateway.rs
@@ -82,6 +82,7 @@
 fn bounds(settings: &lentil_settings::Gateway) -> GatewayBounds {
     GatewayBounds {
         revoke: settings.revoke,
+        receiver_wait: settings.receiver_wait,
         fleet: FleetBounds {
             cold_slack: settings.cold_slack_per_s,
             drain: settings.drain,
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -75,6 +75,8 @@
     pub retry_slack: f64,
     /// The window in which repeats are counted.
     pub retry_window: Span,
+    /// Longest wait for the link of an engine that would receive a copy.
+    pub receiver_wait: Span,
 }
 
 /// The settings of an observer.
@@ -190,6 +192,7 @@
             retry_ratio: allowance("gateway.bounds.retry_ratio", bounds.retry_ratio)?,
             retry_slack: allowance("gateway.bounds.retry_slack", bounds.retry_slack)?,
             retry_window: Span::from_ms(bounds.retry_window_ms),
+            receiver_wait: Span::from_ms(bounds.receiver_wait_ms),
         })
     }
 }
--- a/crates/settings/src/node/generated.rs
+++ b/crates/settings/src/node/generated.rs
@@ -12,6 +12,9 @@
     ///Time between the signal to stop and the end of the process.
     #[serde(default = "defaults::default_u64::<u64, 8000>")]
     pub grace_ms: u64,
+    ///Longest wait for the link of an engine that would receive a copy, before another is asked.
+    #[serde(default = "defaults::default_u64::<u64, 25>")]
+    pub receiver_wait_ms: u64,
     ///Repeats for each request of a service, over all gateways.
     #[serde(default = "defaults::bound_settings_retry_ratio")]
     pub retry_ratio: f64,
@@ -31,6 +34,7 @@
             cold_slack_per_s: defaults::bound_settings_cold_slack_per_s(),
             drain_ms: defaults::default_nzu64::<::std::num::NonZeroU64, 2000>(),
             grace_ms: defaults::default_u64::<u64, 8000>(),
+            receiver_wait_ms: defaults::default_u64::<u64, 25>(),
             retry_ratio: defaults::bound_settings_retry_ratio(),
             retry_slack: defaults::bound_settings_retry_slack(),
             retry_window_ms: defaults::default_u64::<u64, 10000>(),
