Log the shared parts of a prompt, and how much of a lost answer had arrived

Change: generations carry the ids of the parts that other requests may share; the lines for a sent generation and for a crash have them, the latter also the request and the progress of its answer. No change of logic.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -320,6 +320,48 @@
     }
 }
 
+/// Identifies a part of a prompt that several requests may have in common.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PromptPartId(u128);
+
+impl PromptPartId {
+    /// Creates an id from its number.
+    #[must_use]
+    pub const fn new(number: u128) -> Self {
+        Self(number)
+    }
+
+    /// The id as a number.
+    #[must_use]
+    pub const fn get(self) -> u128 {
+        self.0
+    }
+}
+
+impl fmt::Display for PromptPartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+/// Error for a string that is not the id of a part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the id of a part of a prompt is 1 to 32 hexadecimal digits")]
+pub struct ParsePromptPartIdError;
+
+impl FromStr for PromptPartId {
+    type Err = ParsePromptPartIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(ParsePromptPartIdError);
+        }
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParsePromptPartIdError)
+    }
+}
+
 /// A digest of a request, used to detect identical requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Fingerprint(u128);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,8 +13,9 @@
 
 pub use id::{
     AdapterId, AttemptId, BootId, ConfigVersion, EndpointId, EntryId, FenceNumber, Fingerprint,
-    GenerationId, HostId, ModelId, Offset, OrganisationId, ParseIdError, PresetName, ProcessId,
-    RecordId, RegionId, RequestKey, ServiceName, TokenIndex, VersionId, ZoneId,
+    GenerationId, HostId, ModelId, Offset, OrganisationId, ParseIdError, ParsePromptPartIdError,
+    PresetName, ProcessId, PromptPartId, RecordId, RegionId, RequestKey, ServiceName, TokenIndex,
+    VersionId, ZoneId,
 };
 pub use load::{EndpointLoad, EndpointState};
 pub use outcome::{NotRunProof, Outcome, Refusal, RefusalReason};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,9 +14,9 @@
 use crate::body::ResponseBody;
 use crate::endpoints::{Attestation, Call, Reply, Resume, SendError};
 use crate::gateway::{Gateway, Permit, RETRY_AFTER_REFUSAL, is_stream};
-use crate::poison;
+use crate::poison::{self, AnswerProgress, LostAnswer};
 use crate::pool::Reuse;
-use crate::request::{GatewayResponse, InboundRequest};
+use crate::request::{GatewayResponse, Generation, InboundRequest};
 
 /// Number of unreachable endpoints after which a request fails.
 const UNREACHED_ENDPOINTS_MAX: u32 = 4;
@@ -144,6 +144,12 @@
         Some((generation.prompt_tokens, expected))
     }
 
+    /// The shared parts of a generation's prompt, for the log.
+    pub(crate) fn shared_parts_text(&self) -> String {
+        let generation = self.request.generation.as_ref();
+        generation.map_or_else(String::new, Generation::shared_parts_text)
+    }
+
     /// Builds a refusal. Its outcome is unknown if an endpoint may have run the
     /// request.
     pub(crate) fn refuse(&self, reason: RefusalReason, proof: Option<NotRunProof>) -> Refusal {
@@ -215,7 +221,7 @@
                     }
                 }
                 SendOutcome::ResponseLost => {
-                    if !self.may_rerun(job, &permit).await {
+                    if !self.may_rerun(job, &permit, AnswerProgress::None).await {
                         return Err(job.refuse(RefusalReason::EndpointFailed, None));
                     }
                 }
@@ -253,7 +259,8 @@
         let sent_at = self.now();
         if is_stream(&job.route) {
             let waited_ms = sent_at.since(job.arrived).as_ms();
-            log::info!(request:% = job.request.id, endpoint:% = endpoint, waited_ms = waited_ms; "generation request sent");
+            let parts = job.shared_parts_text();
+            log::info!(request:% = job.request.id, endpoint:% = endpoint, waited_ms = waited_ms, parts = parts.as_str(); "generation request sent");
         }
         let call = self.build_call(job, permit, resume);
         let response = self.endpoint_client.send(call).await;
@@ -329,12 +336,18 @@
     /// Returns whether a request whose response was lost may run once more, and
     /// takes a retry from the budget if so. Also reports the endpoint if it
     /// crashed.
-    pub(crate) async fn may_rerun(self: &Rc<Self>, job: &Job, permit: &Permit) -> bool {
+    pub(crate) async fn may_rerun(
+        self: &Rc<Self>,
+        job: &Job,
+        permit: &Permit,
+        progress: AnswerProgress,
+    ) -> bool {
+        let lost = LostAnswer::new(job, &permit.place, progress);
         if !job.route.is_retryable() {
-            poison::spawn_crash_check(self, &permit.place, job.fingerprint);
+            poison::spawn_crash_check(self, lost);
             return false;
         }
-        poison::report_if_crashed(self, &permit.place, job.fingerprint).await;
+        poison::report_if_crashed(self, &lost).await;
         !self.poison.refuses(job.fingerprint) && job.take_retry(self)
     }
 
@@ -428,7 +441,7 @@
                 Err(error) => {
                     permit.record_result(AttemptResult::Failed);
                     job.note(format!("response body not read: {error}"));
-                    if !self.may_rerun(job, &permit).await {
+                    if !self.may_rerun(job, &permit, AnswerProgress::Head).await {
                         return Err(job.refuse(RefusalReason::EndpointFailed, None));
                     }
                 }
--- a/crates/gateway/src/poison.rs
+++ b/crates/gateway/src/poison.rs
@@ -14,7 +14,9 @@
 use tokio::net::TcpStream;
 use tonic::transport::Endpoint;
 
+use crate::attempt::Job;
 use crate::gateway::Gateway;
+use crate::request::RequestId;
 
 /// Timeout for notifying an observer.
 const NOTIFY_TIMEOUT: Duration = Duration::from_millis(800);
@@ -66,14 +68,44 @@
     }
 }
 
+/// How much of an answer had arrived when its connection broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnswerProgress {
+    /// Nothing.
+    None,
+    /// The head, and no event.
+    Head,
+    /// The head and one event or more.
+    Events,
+}
+
+/// A request whose connection to its endpoint broke.
+#[derive(Debug, Clone)]
+pub(crate) struct LostAnswer {
+    request: RequestId,
+    place: PlacedRequest,
+    fingerprint: Fingerprint,
+    parts_text: String,
+    progress: AnswerProgress,
+}
+
+impl LostAnswer {
+    pub(crate) fn new(job: &Job, place: &PlacedRequest, progress: AnswerProgress) -> Self {
+        Self {
+            request: job.request.id.clone(),
+            place: place.clone(),
+            fingerprint: job.fingerprint,
+            parts_text: job.shared_parts_text(),
+            progress,
+        }
+    }
+}
+
 /// Checks the endpoint of a request whose connection broke. If the endpoint no
 /// longer accepts connections, it crashed while running the request, and all
 /// gateways are informed.
-pub(crate) async fn report_if_crashed(
-    gateway: &Gateway,
-    place: &PlacedRequest,
-    fingerprint: Fingerprint,
-) {
+pub(crate) async fn report_if_crashed(gateway: &Gateway, lost: &LostAnswer) {
+    let (place, fingerprint) = (&lost.place, lost.fingerprint);
     if gateway
         .fleet
         .borrow()
@@ -93,8 +125,11 @@
     };
     gateway.poison.merge_reports(now, &[report]);
     log::info!(
+        request:% = lost.request,
         endpoint:% = place.endpoint,
         fingerprint:% = fingerprint,
+        parts = lost.parts_text.as_str(),
+        progress:? = lost.progress,
         crash:% = crash;
         "endpoint crashed while running a request"
     );
@@ -106,15 +141,10 @@
 }
 
 /// Like [`report_if_crashed`], but does not delay the response to the caller.
-pub(crate) fn spawn_crash_check(
-    gateway: &Rc<Gateway>,
-    place: &PlacedRequest,
-    fingerprint: Fingerprint,
-) {
+pub(crate) fn spawn_crash_check(gateway: &Rc<Gateway>, lost: LostAnswer) {
     let gateway = Rc::clone(gateway);
-    let place = place.clone();
     tokio::task::spawn_local(async move {
-        report_if_crashed(&gateway, &place, fingerprint).await;
+        report_if_crashed(&gateway, &lost).await;
     });
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::endpoints::{Attestation, KvCopy, Resume};
 use crate::events::EventSplitter;
 use crate::gateway::{Gateway, Permit};
+use crate::poison::AnswerProgress;
 use crate::request::GatewayResponse;
 use crate::runs::{Continuation, RunGuard};
 
@@ -255,7 +256,15 @@
         if !truncated {
             return BodyEnd::Complete;
         }
-        let may_rerun = self.gateway.may_rerun(&self.job, &self.permit).await;
+        let progress = if self.run_guard.run.started.get() {
+            AnswerProgress::Events
+        } else {
+            AnswerProgress::Head
+        };
+        let may_rerun = self
+            .gateway
+            .may_rerun(&self.job, &self.permit, progress)
+            .await;
         if !may_rerun {
             return BodyEnd::Lost;
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
-use lentil_core::{ParseIdError, Refusal, Span, TokenCount};
+use lentil_core::{ParseIdError, PromptPartId, Refusal, Span, TokenCount};
 
 use crate::body::ResponseBody;
 
@@ -65,6 +65,16 @@
     pub max_output_tokens: TokenCount,
     /// The caller's estimate of the output tokens, which is often far off.
     pub expected_output_tokens: Option<TokenCount>,
+    /// The parts of the prompt that other requests may have in common with it, in order.
+    pub shared_parts: Vec<PromptPartId>,
+}
+
+impl Generation {
+    /// The shared parts, for the log.
+    pub(crate) fn shared_parts_text(&self) -> String {
+        let parts = self.shared_parts.iter().map(ToString::to_string);
+        parts.collect::<Vec<_>>().join(",")
+    }
 }
 
 /// A caller's request, completely read.
