--- a/crates/lentiltray/tests/it/gateway_harness.rs
+++ b/crates/lentiltray/tests/it/gateway_harness.rs
@@ -177,16 +177,27 @@
 
     fn start_with(test: &str, bounds: &str, observer_port: u16) -> Self {
         let store = Store::start();
-        let settings = format!(
-            "name: {test}\nzone: z\ngateway:\n  callers: 127.0.0.1:0\n  \
-             readiness: 127.0.0.1:0\n  metrics: 127.0.0.1:0\n  store: {}\n  \
-             observer_port: {observer_port}\n  bounds: {{{bounds}}}\n",
-            store.address()
-        );
-        let gateway = DaemonProcess::start("gateway", test, &settings);
+        let gateway = start_gateway(&store, test, bounds, observer_port);
         Self { store, gateway }
     }
 
+    /// Starts a further gateway and waits until it knows the site's `endpoints`.
+    pub(crate) fn start_gateway(
+        &self,
+        test: &str,
+        observer_port: u16,
+        endpoints: usize,
+    ) -> DaemonProcess {
+        let gateway = start_gateway(&self.store, test, "", observer_port);
+        wait_until("the further gateway is ready", || {
+            readiness(&gateway) == 200
+        });
+        for _ in 0..endpoints {
+            gateway.wait_for_line("endpoint joined");
+        }
+        gateway
+    }
+
     /// Writes an endpoint's entry to the store.
     pub(crate) fn register_endpoint(&self, replica: &Replica, service: &str, state: &str) {
         self.register_endpoint_in(&self.store, replica, service, state);
@@ -208,9 +219,7 @@
 
     /// Returns the status of the readiness page.
     pub(crate) fn readiness(&self) -> u16 {
-        let mut connection = ClientConnection::open(self.gateway.address("readiness"));
-        connection.send("GET /v1/readiness HTTP/1.1\nHost: x", "");
-        connection.receive().unwrap().status
+        readiness(&self.gateway)
     }
 
     pub(crate) fn wait_until_ready(&self) {
@@ -235,6 +244,22 @@
     }
 }
 
+fn readiness(gateway: &DaemonProcess) -> u16 {
+    let mut connection = ClientConnection::open(gateway.address("readiness"));
+    connection.send("GET /v1/readiness HTTP/1.1\nHost: x", "");
+    connection.receive().unwrap().status
+}
+
+fn start_gateway(store: &Store, test: &str, bounds: &str, observer_port: u16) -> DaemonProcess {
+    let settings = format!(
+        "name: {test}\nzone: z\ngateway:\n  callers: 127.0.0.1:0\n  \
+         readiness: 127.0.0.1:0\n  metrics: 127.0.0.1:0\n  store: {}\n  \
+         observer_port: {observer_port}\n  bounds: {{{bounds}}}\n",
+        store.address()
+    );
+    DaemonProcess::start("gateway", test, &settings)
+}
+
 /// Starts an observer for an engine, at the same address. With `store`, it reads that
 /// store for gateways.
 pub(crate) fn start_observer(
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -29,6 +29,7 @@
 mod operator_changes;
 mod planned_stop;
 mod poison_request;
+mod prompt_part;
 mod separate_processes;
 mod service_crash;
 mod settings_check;
