Don't end the gateway when a stream ends before its first event

Seen: an engine that answers 200 and ends the body without an event, as one may that closes an answer without length when it crashes, ended the gateway and every stream on it. Cause: the end of the response counted as the end of a complete stream; the relay was then polled once more for the rest, and the finished body panicked (unfold polled after its end; the deployed build aborts on a panic). Change: a stream that ends before the caller has any event has been broken off: the caller gets 502, or the stream goes on elsewhere if its route allows. Nothing is polled after the end of a complete stream. Measured: odd_answers::stream_ends_before_event failed before (no response, panic at unfold.rs:108), passes now; 18 of 18 odd_answers pass. The new tests of streams without length or that end inside an event passed before as well.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -88,7 +88,13 @@
             relay.end_reason = Some("lost before the first event");
             return Err(job.refuse(RefusalReason::EndpointFailed, None));
         }
-        None => Bytes::new(),
+        None => {
+            return Ok(GatewayResponse::Endpoint {
+                status,
+                headers,
+                body: ResponseBody::from(Bytes::new()),
+            });
+        }
     };
     let took = gateway.now().since(job.arrived);
     gateway.metrics.first_event_s.observe(seconds(took));
@@ -165,7 +171,7 @@
                     continue;
                 }
                 Some(Err(BodyInterrupted)) => true,
-                None => self.splitter.has_partial_event(),
+                None => self.splitter.has_partial_event() || !self.has_begun(),
             };
             match self.handle_body_end(truncated).await {
                 BodyEnd::Continued => {}
@@ -180,6 +186,12 @@
         }
     }
 
+    /// Returns whether the caller has received an event, from this response or, if it
+    /// resumes a stream, before.
+    const fn has_begun(&self) -> bool {
+        self.last_event_id.is_some() || self.generated_tokens.get() > 0
+    }
+
     /// Returns the next bytes of the body. A stream that has begun and brings no event
     /// with data for too long counts as interrupted, whatever other bytes it brings.
     async fn next_bytes(&mut self) -> Option<Result<Bytes, BodyInterrupted>> {
--- a/crates/lentiltray/tests/it/odd_answers.rs
+++ b/crates/lentiltray/tests/it/odd_answers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::fake_http::{ConnectionAction, Request, chunk, response_with_length};
+use crate::fake_http::{ConnectionAction, ReceivedResponse, Request, chunk, response_with_length};
 use crate::gateway_harness::{
     Replica, Site, request_head, respond_ok, signature_headers, wait_until, write_response,
 };
@@ -197,6 +197,79 @@
     assert!(response.complete);
 }
 
+/// Starts an engine whose streams have neither a length nor chunks, and returns what the
+/// caller of a report gets.
+fn report_without_length(test: &str, body: &'static str) -> ReceivedResponse {
+    let engine = Replica::start("i-1", move |request, stream| {
+        let response_head = format!("HTTP/1.1 200 OK\r\n{}\r\n", signature_headers(request));
+        write_response(stream, response_head.as_bytes());
+        write_response(stream, body.as_bytes());
+        ConnectionAction::Close
+    });
+    let site = Site::start(test, &[(&engine, "writers")]);
+    site.call("/report/a", "r1", "").unwrap()
+}
+
+#[test]
+fn stream_without_length() {
+    let events = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
+    let response = report_without_length("stream_no_length", events);
+    assert_eq!((response.status, response.body.as_str()), (200, events));
+    assert!(response.complete);
+}
+
+/// A stream without a length that ends inside an event has been broken off.
+#[test]
+fn stream_ends_inside_event() {
+    for body in ["id: 0\ndata: a\n\nid: 1\ndata: b\n", "id: 0\ndata: a\n\ni"] {
+        let response = report_without_length("stream_inside_event", body);
+        assert_eq!(response.body, "id: 0\ndata: a\n\n");
+        assert!(!response.complete);
+    }
+}
+
+/// A stream that ends before its first event was broken off, whatever its framing. The
+/// gateway goes on serving.
+#[test]
+fn stream_ends_before_event() {
+    let engine = Replica::start("i-1", |request, stream| {
+        let framing = match request.target.as_str() {
+            "/report/unframed" => "",
+            "/report/empty" => "Content-Length: 0\r\n",
+            _ => "Transfer-Encoding: chunked\r\n",
+        };
+        let response_head = format!(
+            "HTTP/1.1 200 OK\r\n{}{framing}\r\n",
+            signature_headers(request)
+        );
+        write_response(stream, response_head.as_bytes());
+        if request.target == "/report/chunked" {
+            write_response(stream, b"0\r\n\r\n");
+        }
+        ConnectionAction::Close
+    });
+    let site = Site::start("stream_before_event", &[(&engine, "writers")]);
+    for target in ["/report/unframed", "/report/empty", "/report/chunked"] {
+        let response = site.call(target, "r1", "").unwrap();
+        assert_eq!(response.status, 502, "{target}: {}", response.body);
+    }
+}
+
+/// A resumed stream of which the caller has all events is complete.
+#[test]
+fn resumed_stream_without_events() {
+    let engine = Replica::start("i-1", |request, stream| {
+        write_response(
+            stream,
+            &response_with_length(200, &signature_headers(request), b""),
+        )
+    });
+    let site = Site::start("resumed_at_end", &[(&engine, "writers")]);
+    let response = site.call("/note/a", "r1", "\nLast-Event-Id: 7").unwrap();
+    assert_eq!((response.status, response.body.as_str()), (200, ""));
+    assert!(response.complete);
+}
+
 #[test]
 fn truncated_response() {
     let replica = Replica::start("i-1", |request, stream| {
