Run no code of a dependency before main

Cause: fastrace brings fastant, whose constructor compares two clocks in a busy loop before main. Change: traces through opentelemetry, which has no constructor (weighed: tracing with a bridge, more crates for the same; code of our own, 100 lines that a library has already). logforth stays, without its two fastrace features. Settings and the log lines of spans are as before; the test of traces reads the same tree from the new library's exporter. startup_code::none_from_dependencies compares the functions that the built binary runs before main with those of an empty program.

--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -35,6 +35,7 @@
 mod settings_check;
 mod shared_log;
 mod stalled_streams;
+mod startup_code;
 mod stop_signals;
 mod tls_connections;
 mod trace_propagation;
--- a/crates/lentiltray/tests/it/trace_propagation.rs
+++ b/crates/lentiltray/tests/it/trace_propagation.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use fastrace::collector::{Config, SpanRecord, TestReporter};
+use lentil_shell::export_spans;
 use lentil_site::{Site, SiteOptions};
+use opentelemetry_sdk::trace::{InMemorySpanExporter, SpanData};
 
 use crate::caller::{Caller, block_on, completion, read_events};
 
@@ -12,8 +13,8 @@
 
 #[test]
 fn hops_share_one_trace() {
-    let (reporter, spans) = TestReporter::new();
-    fastrace::set_reporter(reporter, Config::default());
+    let exporter = InMemorySpanExporter::default();
+    export_spans(exporter.clone());
     let plan = SiteOptions {
         engines: 1,
         ..SiteOptions::default()
@@ -33,18 +34,20 @@
     });
     let traceparents = site.engines[0].traceparents();
     site.stop().unwrap();
-    fastrace::flush();
-    let spans = spans.lock();
+    let spans = exporter.get_finished_spans().unwrap();
     let spans: Vec<_> = spans
         .iter()
-        .filter(|span| span.trace_id.to_string() == TRACE)
+        .filter(|span| span.span_context.trace_id().to_string() == TRACE)
         .collect();
     let by_name: BTreeMap<_, _> = spans
         .iter()
         .map(|span| (span.name.as_ref(), *span))
         .collect();
-    let parent = |span: &SpanRecord| {
-        let parent = spans.iter().find(|other| other.span_id == span.parent_id);
+    let span_id = |span: &SpanData| span.span_context.span_id();
+    let parent = |span: &SpanData| {
+        let parent = spans
+            .iter()
+            .find(|other| span_id(other) == span.parent_span_id);
         parent.map_or("", |parent| parent.name.as_ref()).to_owned()
     };
     let mut tree: Vec<_> = spans
@@ -53,8 +56,8 @@
         .collect();
     tree.sort();
     insta::assert_snapshot!(tree.join("\n"));
-    assert_eq!(by_name["caller"].parent_id.to_string(), CALLER_SPAN);
-    let endpoint = by_name["endpoint"].span_id;
+    assert_eq!(by_name["caller"].parent_span_id.to_string(), CALLER_SPAN);
+    let endpoint = span_id(by_name["endpoint"]);
     assert_eq!(
         traceparents.last(),
         Some(&format!("00-{TRACE}-{endpoint}-01"))
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -30,4 +30,4 @@
 pub use stop::{SignalAction, StopSignals};
 pub use thread::{ThreadError, WorkerThread, spawn, spawn_http, spawn_io};
 pub use tls::{TlsError, listener_tls, peer_client_tls, peer_server_tls};
-pub use trace::{StagedSpan, TraceSpan, start_traces, trace_context};
+pub use trace::{StagedSpan, TraceContext, TraceSpan, export_spans, start_traces, trace_context};
--- a/crates/shell/src/logs.rs
+++ b/crates/shell/src/logs.rs
@@ -1,7 +1,7 @@
 //! Logging to standard output.
 
 use lentil_settings::{LogFormat, LogLevel};
-use logforth::append::{FastraceEvent, Stdout};
+use logforth::append::Stdout;
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::{JsonLayout, TextLayout};
 use logforth::record::{Level, LevelFilter};
@@ -25,7 +25,6 @@
     };
     let started = logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.filter(filter()).append(append))
-        .dispatch(|dispatch| dispatch.filter(filter()).append(FastraceEvent::default()))
         .try_apply();
     if let Err(error) = started {
         log::debug!("logging is already initialized: {error}");
