Read the limits that endpoints name, log them and count them

Change: the limit is kept in the endpoint table, with lines when it is named, changed or withdrawn, and a gauge. An answer to a request that was sent before the limit was named does not withdraw it. No change of placement.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,4 +21,7 @@
 pub use outcome::{NotRunProof, Outcome, Refusal, RefusalReason};
 pub use priority::{ParsePriorityError, Priority};
 pub use time::{Span, Time};
-pub use unit::{Blocks, ByteCount, ParseUnitError, Permille, TokenCount, TokensPerSecond, Weight};
+pub use unit::{
+    Blocks, ByteCount, ParseRequestRateError, ParseUnitError, Permille, RequestRate, TokenCount,
+    TokensPerSecond, Weight,
+};
--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -111,3 +111,37 @@
     /// A relative weight.
     Weight(u32), "";
 }
+
+/// A rate of requests, which may be a fraction.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// The rate in requests per second.
+    #[must_use]
+    pub const fn per_s(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} requests/s", self.0)
+    }
+}
+
+/// Error for a string that is not a rate of requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("a rate of requests is a decimal number, not negative")]
+pub struct ParseRequestRateError;
+
+impl FromStr for RequestRate {
+    type Err = ParseRequestRateError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.strip_suffix(" requests/s").unwrap_or(text);
+        let per_s: f64 = number.trim().parse().map_err(|_| ParseRequestRateError)?;
+        let valid = per_s.is_finite() && per_s >= 0.0;
+        valid.then_some(Self(per_s)).ok_or(ParseRequestRateError)
+    }
+}
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -6,6 +6,7 @@
 
 use crate::cold_window::ColdWindow;
 use crate::health::Health;
+use crate::named_limit::NamedLimit;
 
 /// An endpoint's record in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -93,6 +94,7 @@
     pub(crate) health: Health,
     pub(crate) report: Option<(Time, EngineReport)>,
     pub(crate) reported_load: Option<ReportedLoad>,
+    pub(crate) named_limit: Option<NamedLimit>,
 }
 
 impl Endpoint {
@@ -106,6 +108,7 @@
             health: Health::default(),
             report: None,
             reported_load: None,
+            named_limit: None,
         }
     }
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -12,6 +12,7 @@
 };
 use crate::entry_count::EntryCounter;
 use crate::in_flight::{AttemptResult, InFlightRequest, PlacementId};
+use crate::named_limit::{LimitChange, LimitNotice, NamedLimit};
 
 /// How long an engine's report is used.
 pub(crate) const REPORT_TTL: Span = Span::from_ms(1_500);
@@ -274,6 +275,26 @@
         }
     }
 
+    /// Records what an answer says about its endpoint's limit. Returns the change, if any.
+    pub fn record_limit(
+        &mut self,
+        now: Time,
+        id: &EndpointId,
+        notice: LimitNotice,
+    ) -> Option<LimitChange> {
+        let endpoint = self.endpoints.get_mut(id)?;
+        NamedLimit::apply(&mut endpoint.named_limit, now, notice)
+    }
+
+    /// Number of endpoints that name a limit.
+    #[must_use]
+    pub fn limited_endpoints(&self) -> usize {
+        let endpoints = self.endpoints.values();
+        endpoints
+            .filter(|endpoint| endpoint.named_limit.is_some())
+            .count()
+    }
+
     fn begin_leaving(
         &mut self,
         now: Time,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,7 @@
     ConfigVersion, EndpointId, Fingerprint, NotRunProof, OrganisationId, PromptPartId, Refusal,
     RefusalReason, ServiceName, Span, Time, TokenCount,
 };
-use lentil_fleet::AttemptResult;
+use lentil_fleet::{AttemptResult, LimitChange, LimitNotice};
 
 use crate::body::ResponseBody;
 use crate::endpoints::{Attestation, Call, Reply, Resume, SendError};
@@ -282,7 +282,7 @@
         let took_ms = self.now().since(sent_at).as_ms();
         match response {
             Ok(reply) => {
-                self.record_endpoint_state(endpoint, &reply);
+                self.record_endpoint_state(endpoint, sent_at, &reply);
                 self.classify_reply(job, permit, reply, took_ms)
             }
             Err(SendError::NotSent(reason)) => {
@@ -384,7 +384,12 @@
     }
 
     /// Updates the endpoint table with what a response says about its endpoint.
-    pub(crate) fn record_endpoint_state(&self, endpoint: &EndpointId, reply: &Reply) {
+    pub(crate) fn record_endpoint_state(
+        &self,
+        endpoint: &EndpointId,
+        sent_at: Time,
+        reply: &Reply,
+    ) {
         let now = self.now();
         let mut fleet = self.fleet.borrow_mut();
         if let Some(load) = reply.load {
@@ -393,6 +398,29 @@
         if let Some(cold_for) = reply.cold_for {
             fleet.record_cold(now, endpoint, cold_for);
         }
+        let from_endpoint = match reply.attestation {
+            Attestation::Ran | Attestation::NotRun => true,
+            Attestation::OtherEndpoint => false,
+            Attestation::Nothing => reply.rate_limit.is_some(),
+        };
+        if !from_endpoint {
+            return;
+        }
+        let notice = LimitNotice {
+            sent_at,
+            rate: reply.rate_limit,
+        };
+        match fleet.record_limit(now, endpoint, notice) {
+            Some(LimitChange::Named(rate)) => {
+                log::info!(endpoint:% = endpoint, limit:% = rate; "endpoint named a limit");
+            }
+            Some(LimitChange::Withdrawn) => {
+                log::info!(endpoint:% = endpoint; "endpoint withdrew its limit");
+            }
+            None => return,
+        }
+        let limited = i64::try_from(fleet.limited_endpoints()).unwrap_or(i64::MAX);
+        self.metrics.limited.set(limited);
     }
 
     /// Serves a request whose response is buffered. Hedges it if it may run twice.
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -7,7 +7,7 @@
 use futures_util::stream::LocalBoxStream;
 use http::{HeaderMap, StatusCode};
 use lentil_catalog::PriorityLevel;
-use lentil_core::{EndpointId, OrganisationId, Span, Time};
+use lentil_core::{EndpointId, OrganisationId, RequestRate, Span, Time};
 use lentil_fleet::EngineReport;
 use thiserror::Error;
 
@@ -80,6 +80,9 @@
     pub load: Option<(u32, u32, u32)>,
     /// How long the endpoint stays cold, if stated.
     pub cold_for: Option<Span>,
+    /// The rate of requests that the endpoint accepts from all callers together, if it
+    /// names one.
+    pub rate_limit: Option<RequestRate>,
     /// The body. Dropping it cancels the request.
     pub body: LocalBoxStream<'static, Result<Bytes, BodyInterrupted>>,
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,7 @@
     pub(crate) retries: Counter,
     pub(crate) waiting: Gauge,
     pub(crate) running: Gauge,
+    pub(crate) limited: Gauge,
     pub(crate) catalog_version: Gauge,
     pub(crate) first_event_s: Histogram,
     pub(crate) pause_s: Histogram,
@@ -63,6 +64,7 @@
         let retries = Counter::default();
         let waiting = Gauge::default();
         let running = Gauge::default();
+        let limited = Gauge::default();
         let catalog_version = Gauge::default();
         let first_event_s = Histogram::new(buckets());
         let pause_s = Histogram::new(buckets());
@@ -75,6 +77,11 @@
         registry.register("repeats", "Requests sent once more", retries.clone());
         registry.register("waiting", "Requests that wait for a place", waiting.clone());
         registry.register("running", "Streams that run", running.clone());
+        registry.register(
+            "limited_endpoints",
+            "Endpoints that name a limit",
+            limited.clone(),
+        );
         registry.register(
             "catalog_version",
             "Version in force",
@@ -97,6 +104,7 @@
             retries,
             waiting,
             running,
+            limited,
             catalog_version,
             first_event_s,
             pause_s,
