Add failing tests of endpoints that name a limit

Change: tests of one gateway, of two together, of a limit at the only endpoint and of its withdrawal, and a property over entries that do not communicate.

--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -12,5 +12,6 @@
 mod followed_engines;
 mod memory_forecast;
 mod missing_records;
+mod named_limit;
 mod retry_budget;
 mod reused_address;
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -24,6 +24,7 @@
 mod killed_executor;
 mod lost_store;
 mod moved_streams;
+mod named_limits;
 mod odd_answers;
 mod operations_pages;
 mod operator_changes;
