Keep the limits that endpoints name, over all gateways together

Cause: a limit on all callers together was neither read nor applied; placement went by load alone. The class of fault: what an endpoint says of itself in an answer is forwarded and not acted on. Change: each gateway that has been told sends at its share of the limit, evenly and from a random moment on, in any way of sending (placement, retries, hedges, moves). Only an answer to a request sent after the limit was named withdraws it; a restarted endpoint has none. If every endpoint of a service names a limit, a request that can't be placed before its wait ends is refused at once, with the time until there is room as Retry-After.

--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -5,6 +5,7 @@
 use lentil_core::{EndpointId, ServiceName, Span, Time, TokenCount, ZoneId};
 
 use crate::cold_window::ColdWindow;
+use crate::fleet::REPORT_TTL;
 use crate::health::Health;
 use crate::named_limit::NamedLimit;
 
@@ -121,6 +122,15 @@
         }
     }
 
+    /// Number of entries that share a limit of this endpoint: those that follow it, if it
+    /// reports them, or else all `entries`.
+    pub(crate) fn sharing_entries(&self, now: Time, entries: u32) -> u32 {
+        self.report
+            .as_ref()
+            .filter(|(at, report)| report.followers > 0 && !(*at + REPORT_TTL).has_passed(now))
+            .map_or(entries, |(_, report)| report.followers)
+    }
+
     /// Whether a start time shows that the endpoint has restarted since its record
     /// was read; `false` if either start time is unknown.
     pub(crate) const fn is_restart(&self, started_at_ms: Option<u64>) -> bool {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -282,8 +282,10 @@
         id: &EndpointId,
         notice: LimitNotice,
     ) -> Option<LimitChange> {
+        let entries = self.entry_count(now);
         let endpoint = self.endpoints.get_mut(id)?;
-        NamedLimit::apply(&mut endpoint.named_limit, now, notice)
+        let sharing = endpoint.sharing_entries(now, entries);
+        NamedLimit::apply(&mut endpoint.named_limit, now, notice, sharing)
     }
 
     /// Number of endpoints that name a limit.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -30,6 +30,6 @@
 pub use fleet::{Fleet, FleetChange, FleetConfig, LeavingEndpoint};
 pub use followed::FollowedEngines;
 pub use in_flight::{AttemptResult, PlacementId};
-pub use named_limit::{LimitChange, LimitNotice};
+pub use named_limit::{LimitChange, LimitNotice, LimitedCapacity};
 pub use placement::{GenerationSize, PlacedRequest, Placement, PlacementRequest, ZonePreference};
 pub use retry_budget::{RetryBudget, RetryBudgetConfig};
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -9,6 +9,7 @@
 use crate::endpoint::Endpoint;
 use crate::fleet::{DEFAULT_ENTRY_COUNT, REPORT_TTL};
 use crate::in_flight::{InFlightRequest, PlacementId};
+use crate::named_limit::{LimitedCapacity, combined_interval, interval};
 use crate::placement::{
     FAILURE_WEIGHT, GenerationSize, JITTER_MAX, MEMORY_FILL_MAX, OUTPUT_RESERVE,
     PREFILL_FULL_TOKENS, PlacedRequest, Placement, PlacementRequest, REMOTE_ZONE_PENALTY,
@@ -61,16 +62,7 @@
             .catalog
             .as_ref()
             .and_then(|catalog| catalog.service(&request.service).cloned());
-        let available: Vec<_> = self
-            .endpoints
-            .iter()
-            .filter(|(id, endpoint)| {
-                endpoint.record.service == request.service
-                    && self.is_available(now, id)
-                    && !tried.contains(id)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
+        let available = self.available(now, request, tried);
         if available.is_empty() {
             return Placement::NoEndpoint;
         }
@@ -85,6 +77,53 @@
         }
     }
 
+    /// What this entry may send for a request if every endpoint that it could be placed at
+    /// names a limit; `None` if one does not.
+    #[must_use]
+    pub fn limited_capacity(
+        &self,
+        now: Time,
+        request: &PlacementRequest,
+        tried: &[EndpointId],
+    ) -> Option<LimitedCapacity> {
+        let entries = self.entry_count(now);
+        let available = self.prefer_followed(self.available(now, request, tried), request);
+        let limits: Option<Vec<_>> = available
+            .iter()
+            .filter_map(|id| self.endpoints.get(id))
+            .map(|endpoint| {
+                let sharing = endpoint.sharing_entries(now, entries);
+                let limit = endpoint.named_limit?;
+                Some((limit.next_at, interval(limit.rate, sharing)))
+            })
+            .collect();
+        let limits = limits?;
+        let next_at = limits.iter().map(|(next_at, _)| *next_at).min()?;
+        let intervals = limits.iter().map(|(_, interval)| *interval);
+        Some(LimitedCapacity {
+            next_at: next_at.max(now),
+            interval: combined_interval(intervals),
+        })
+    }
+
+    /// The endpoints that may get a request, other than those in `tried`.
+    fn available(
+        &self,
+        now: Time,
+        request: &PlacementRequest,
+        tried: &[EndpointId],
+    ) -> Vec<EndpointId> {
+        self.endpoints
+            .iter()
+            .filter(|(id, endpoint)| {
+                endpoint.record.service == request.service
+                    && self.is_available(now, id)
+                    && !tried.contains(id)
+            })
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
     /// The available endpoints that have capacity, with their scores.
     fn candidates(
         &mut self,
@@ -159,10 +198,15 @@
     }
 
     fn assign(&mut self, now: Time, id: EndpointId, request: &PlacementRequest) -> Placement {
+        let entries = self.entry_count(now);
         let Some(endpoint) = self.endpoints.get_mut(&id) else {
             return Placement::NoEndpoint;
         };
         endpoint.cold_window.record(now);
+        let sharing = endpoint.sharing_entries(now, entries);
+        if let Some(limit) = &mut endpoint.named_limit {
+            limit.record_send(now, sharing);
+        }
         let address = endpoint.record.address;
         let placement_id = PlacementId(self.next_placement_id);
         self.next_placement_id += 1;
@@ -188,7 +232,7 @@
         })
     }
 
-    /// Whether an endpoint's health and cold limit allow another request.
+    /// Whether an endpoint's health and limits allow another request.
     fn may_send_to(
         &mut self,
         now: Time,
@@ -200,7 +244,10 @@
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return false;
         };
-        if endpoint.health.in_backoff(now) {
+        let limited = endpoint
+            .named_limit
+            .is_some_and(|limit| !limit.next_at.has_passed(now));
+        if endpoint.health.in_backoff(now) || limited {
             return false;
         }
         let cold = service.and_then(|service| service.cold);
@@ -208,10 +255,7 @@
             return true;
         };
         let limit = cold.requests_per_s + config.cold_slack / 2.0;
-        let report = endpoint.report.as_ref();
-        let sharing = report
-            .filter(|(at, report)| report.followers > 0 && !(*at + REPORT_TTL).has_passed(now))
-            .map_or(entries, |(_, report)| report.followers);
+        let sharing = endpoint.sharing_entries(now, entries);
         endpoint
             .cold_window
             .allows(now, entry_share(limit, sharing))
--- a/crates/fleet/tests/it/named_limit.rs
+++ b/crates/fleet/tests/it/named_limit.rs
@@ -8,6 +8,8 @@
 
 /// Time over which the requests are counted.
 const WINDOW_MS: u64 = 4_000;
+const SEED: u64 = 7;
+const REPORT_INTERVAL_MS: u64 = 1_000;
 
 fn rate(text: &str) -> RequestRate {
     text.parse().unwrap()
@@ -20,14 +22,23 @@
     fleet
 }
 
-fn name_limit(fleet: &mut Fleet, now: Time, named: Option<RequestRate>) {
+fn name_limit(fleet: &mut Fleet, now: Time, phase_seed: u64, named: Option<RequestRate>) {
     let notice = LimitNotice {
         sent_at: now,
         rate: named,
+        phase_seed,
     };
     fleet.record_limit(now, &id(1), notice);
 }
 
+/// Reports how many entries there are, as observers do all the time.
+fn report_entries(fleets: &mut [Fleet], now: Time) {
+    let entries = u32::try_from(fleets.len()).unwrap();
+    for fleet in fleets {
+        fleet.apply_report(now, record(1).address, report(0, 0, entries));
+    }
+}
+
 /// Sends a request; its answer names the limit.
 fn send(fleet: &mut Fleet, now: Time, seed: u64, named: RequestRate) -> bool {
     let mut need = request(1, 1);
@@ -36,7 +47,7 @@
         return false;
     };
     fleet.finish(now, placed.id, AttemptResult::Succeeded);
-    name_limit(fleet, now, Some(named));
+    name_limit(fleet, now, seed, Some(named));
     true
 }
 
@@ -62,6 +73,9 @@
         let mut told = vec![false; fleets.len()];
         for step in 0..20_000 / gap_ms {
             let now_ms = 1 + step * gap_ms;
+            if step % (REPORT_INTERVAL_MS / gap_ms) == 0 {
+                report_entries(&mut fleets, ms(now_ms));
+            }
             let draw = seed.wrapping_add(step).wrapping_mul(0x9e37_79b9_7f4a_7c15);
             let entry = usize::try_from((draw >> 33) % u64::from(entries)).unwrap();
             if !send(&mut fleets[entry], ms(now_ms), draw, named) {
@@ -90,6 +104,9 @@
         let mut fleets: Vec<_> = (0..entries).map(|_| limited_fleet(entries)).collect();
         let mut sent = 0_u32;
         for now_ms in 1..40_000 {
+            if now_ms % REPORT_INTERVAL_MS == 0 {
+                report_entries(&mut fleets, ms(now_ms));
+            }
             let draw = seed.wrapping_add(now_ms).wrapping_mul(0x9e37_79b9_7f4a_7c15);
             let entry = usize::try_from((draw >> 33) % u64::from(entries)).unwrap();
             if send(&mut fleets[entry], ms(now_ms), draw, named) && now_ms > 20_000 {
@@ -104,7 +121,7 @@
 #[test]
 fn withdrawn_limit() {
     let mut fleet = limited_fleet(4);
-    name_limit(&mut fleet, ms(10), Some(rate("0.1")));
+    name_limit(&mut fleet, ms(10), SEED, Some(rate("0.1")));
     let placed = |fleet: &mut Fleet, now_ms| {
         let placement = fleet.place(ms(now_ms), &request(1, 1), &[]);
         matches!(placement, Placement::Placed(_))
@@ -114,10 +131,11 @@
     let late = LimitNotice {
         sent_at: ms(9),
         rate: None,
+        phase_seed: SEED,
     };
     fleet.record_limit(ms(12), &id(1), late);
     assert!(!placed(&mut fleet, 13));
-    name_limit(&mut fleet, ms(14), None);
+    name_limit(&mut fleet, ms(14), SEED, None);
     assert!(placed(&mut fleet, 15));
     assert!(placed(&mut fleet, 15));
 }
@@ -126,8 +144,8 @@
 #[test]
 fn raised_limit() {
     let mut fleet = limited_fleet(1);
-    name_limit(&mut fleet, ms(10), Some(rate("0.1")));
-    name_limit(&mut fleet, ms(20), Some(rate("50")));
+    name_limit(&mut fleet, ms(10), SEED, Some(rate("0.1")));
+    name_limit(&mut fleet, ms(20), SEED, Some(rate("50")));
     let placement = fleet.place(ms(60), &request(1, 1), &[]);
     assert!(matches!(placement, Placement::Placed(_)));
 }
@@ -136,7 +154,7 @@
 #[test]
 fn restarted_endpoint() {
     let mut fleet = limited_fleet(1);
-    name_limit(&mut fleet, ms(10), Some(rate("0.1")));
+    name_limit(&mut fleet, ms(10), SEED, Some(rate("0.1")));
     let mut restarted = record(1);
     restarted.started_at_ms = Some(77);
     fleet.upsert_endpoint(ms(11), restarted);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -157,11 +157,18 @@
             return Ok(());
         };
         self.note(format!("refused: {}", refusal.reason));
-        let refused = self.refuse(RefusalReason::Poison, None);
-        Err(match refused.retry_after {
-            Some(_) => refused.retry_after(refusal.until.since(now)),
-            None => refused,
-        })
+        let retry_after = refusal.until.since(now);
+        Err(self.refuse_for(RefusalReason::Poison, Some(retry_after)))
+    }
+
+    /// Like [`Self::refuse`] for a request that was not sent again, with a `retry-after` of
+    /// its own if the request can be repeated at all.
+    fn refuse_for(&self, reason: RefusalReason, retry_after: Option<Span>) -> Refusal {
+        let refusal = self.refuse(reason, None);
+        match (refusal.retry_after, retry_after) {
+            (Some(_), Some(retry_after)) => refusal.retry_after(retry_after),
+            (None, _) | (_, None) => refusal,
+        }
     }
 
     /// Builds a refusal. Its outcome is unknown if an endpoint may have run the
@@ -262,7 +269,7 @@
         let found = self.wait_for_place(job, need, &excluded, wait_until).await;
         found.map_err(|refusal| {
             job.note(format!("no capacity: {}", refusal.reason));
-            job.refuse(refusal.reason, None)
+            job.refuse_for(refusal.reason, refusal.retry_after)
         })
     }
 
@@ -282,7 +289,7 @@
         let took_ms = self.now().since(sent_at).as_ms();
         match response {
             Ok(reply) => {
-                self.record_endpoint_state(endpoint, sent_at, &reply);
+                self.record_endpoint_state(job, endpoint, sent_at, &reply);
                 self.classify_reply(job, permit, reply, took_ms)
             }
             Err(SendError::NotSent(reason)) => {
@@ -386,6 +393,7 @@
     /// Updates the endpoint table with what a response says about its endpoint.
     pub(crate) fn record_endpoint_state(
         &self,
+        job: &Job,
         endpoint: &EndpointId,
         sent_at: Time,
         reply: &Reply,
@@ -409,6 +417,7 @@
         let notice = LimitNotice {
             sent_at,
             rate: reply.rate_limit,
+            phase_seed: job.request.id.stable_hash(),
         };
         match fleet.record_limit(now, endpoint, notice) {
             Some(LimitChange::Named(rate)) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -442,11 +442,11 @@
         let not_sent = |reason| {
             Refusal::not_run(NotRunProof::NeverSent, reason).retry_after(RETRY_AFTER_REFUSAL)
         };
-        let blocked = self
+        let waiting = self
             .wait_queue
             .borrow()
-            .has_earlier_waiter(&need.service, job.rank);
-        if !blocked {
+            .earlier_waiters(&need.service, job.rank);
+        if waiting == 0 {
             match self.try_place(now, &need, excluded) {
                 Ok(permit) => return Ok(permit),
                 Err(RefusalReason::EndpointFailed) => {
@@ -455,6 +455,14 @@
                 Err(_) => {}
             }
         }
+        let limited = self.fleet.borrow().limited_capacity(now, &need, excluded);
+        if let Some(limited) = limited {
+            let expected_at = limited.next_at + limited.interval.times(waiting);
+            if expected_at > until {
+                let retry_after = expected_at.since(now);
+                return Err(not_sent(RefusalReason::Overloaded).retry_after(retry_after));
+            }
+        }
         let place = self
             .wait_queue
             .borrow_mut()
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -37,12 +37,13 @@
 }
 
 impl<P> WaitQueue<P> {
-    /// Returns whether a request with this rank would overtake a waiting one.
-    pub(crate) fn has_earlier_waiter(&self, service: &ServiceName, rank: PriorityLevel) -> bool {
+    /// Returns the number of waiting requests that a request with this rank would overtake.
+    pub(crate) fn earlier_waiters(&self, service: &ServiceName, rank: PriorityLevel) -> u64 {
         self.waiting
             .iter()
             .take_while(|((waiting, _), _)| *waiting <= rank)
-            .any(|(_, waiter)| waiter.need.service == *service && !waiter.sender.is_closed())
+            .filter(|(_, waiter)| waiter.need.service == *service && !waiter.sender.is_closed())
+            .fold(0, |count, _| count + 1)
     }
 
     /// Adds a request to the queue. Returns `None` if the queue is full.
