Deliver an endpoint's failure when no retry succeeds

Callers saw: a look-up to which an endpoint had answered 500 got 502 endpoint_failed in its place when no other endpoint could take the retry, as is common once endpoints name limits. Cause: the failed response was dropped before the retry had a place. Change: it is kept until a retry succeeds, and delivered if none does. An unsigned success is not. Measured: odd_answers::failed_answer_is_delivered failed before (502 in place of 500), passes now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -215,12 +215,27 @@
 
 impl Gateway {
     /// Sends a request, retrying at other endpoints as far as allowed, until an
-    /// endpoint starts to respond.
+    /// endpoint starts to respond. If no retry succeeds, the response is the failure that
+    /// an endpoint reported before.
     pub(crate) async fn open_response(
         self: &Rc<Self>,
         job: &Job,
         resume: Option<Resume>,
         generated_tokens: TokenCount,
+    ) -> Result<OpenedResponse, Refusal> {
+        let mut failed = None;
+        let opened = self
+            .send_until_answered(job, resume, generated_tokens, &mut failed)
+            .await;
+        opened.or_else(|refusal| failed.ok_or(refusal))
+    }
+
+    async fn send_until_answered(
+        self: &Rc<Self>,
+        job: &Job,
+        resume: Option<Resume>,
+        generated_tokens: TokenCount,
+        failed: &mut Option<OpenedResponse>,
     ) -> Result<OpenedResponse, Refusal> {
         let mut unreached = 0;
         loop {
@@ -248,13 +263,13 @@
                     }
                 }
                 SendOutcome::Failed(reply) => {
-                    if job.route.is_retryable() && job.take_retry(self) {
-                        continue;
+                    // A success without its signature must not reach the caller.
+                    if !reply.status.is_success() {
+                        *failed = Some(OpenedResponse { reply, permit });
                     }
-                    if reply.status.is_success() {
+                    if !job.route.is_retryable() || !job.take_retry(self) {
                         return Err(job.refuse(RefusalReason::EndpointFailed, None));
                     }
-                    return Ok(OpenedResponse { reply, permit });
                 }
             }
         }
--- a/crates/lentiltray/tests/it/odd_answers.rs
+++ b/crates/lentiltray/tests/it/odd_answers.rs
@@ -73,6 +73,20 @@
     }
 }
 
+/// When a failed lookup can't be sent to a second endpoint, the caller gets the answer of
+/// the first one.
+#[test]
+fn failed_answer_is_delivered() {
+    let failing = Replica::start("i-1", |request, stream| {
+        let headers = signature_headers(request);
+        write_response(stream, &response_with_length(500, &headers, b"no"))
+    });
+    let site = Site::start("failed_delivered", &[(&failing, "desk")]);
+    let response = site.call("/lookup/a", "r1", "").unwrap();
+    assert_eq!((response.status, response.body.as_str()), (500, "no"));
+    assert_eq!(failing.requests().len(), 1);
+}
+
 /// A lookup at a silent endpoint is sent to a second one instead of waiting until the
 /// deadline.
 #[test]
