--- a/crates/lentiltray/tests/it/prompt_part.rs
+++ b/crates/lentiltray/tests/it/prompt_part.rs
@@ -148,4 +148,12 @@
     }
     assert!(reached(&engines) - before <= LATE_REQUESTS_MAX);
     check_served(&other, 200, "7f624e07b580:800");
+    // So does a gateway that starts afterwards.
+    let late = site.start_gateway("part_learned_late", port, ENGINES);
+    std::thread::sleep(EXCHANGE_TIME);
+    let before = reached(&engines);
+    for number in 300..300 + 2 * LATE_REQUESTS_MAX {
+        send(&late, number, &shared);
+    }
+    assert!(reached(&engines) - before <= LATE_REQUESTS_MAX);
 }
