Move the handling of named limits into a function of its own

Cause: a reader of record_endpoint_state met two jobs; the gauge of limited endpoints was stale after one restarted. Change: record_named_limit; the gauge is set by the timer; send_interval says what interval it is.

--- a/crates/fleet/src/named_limit.rs
+++ b/crates/fleet/src/named_limit.rs
@@ -66,16 +66,16 @@
                 *known = Some(Self {
                     rate,
                     named_at: now,
-                    next_at: now + fraction(interval(rate, entries), notice.phase_seed),
+                    next_at: now + fraction(send_interval(rate, entries), notice.phase_seed),
                 });
                 Some(LimitChange::Named(rate))
             }
             (Some(limit), Some(rate)) => {
                 limit.named_at = now;
                 let before = std::mem::replace(&mut limit.rate, rate);
-                let spread = fraction(interval(rate, entries), notice.phase_seed);
                 if rate > before {
-                    limit.next_at = limit.next_at.min(now + spread);
+                    let phase = fraction(send_interval(rate, entries), notice.phase_seed);
+                    limit.next_at = limit.next_at.min(now + phase);
                 }
                 (before != rate).then_some(LimitChange::Named(rate))
             }
@@ -90,12 +90,12 @@
 
     /// Records a request of this entry.
     pub(crate) fn record_send(&mut self, now: Time, entries: u32) {
-        self.next_at = now + interval(self.rate, entries);
+        self.next_at = now + send_interval(self.rate, entries);
     }
 }
 
 /// The time between two requests of one of `entries` entries.
-pub(crate) fn interval(rate: RequestRate, entries: u32) -> Span {
+pub(crate) fn send_interval(rate: RequestRate, entries: u32) -> Span {
     let used_per_s = (rate.per_s() * LIMIT_FRACTION).max(RATE_MIN_PER_S);
     let share_per_s = used_per_s / f64::from(entries.max(1));
     span_of_s(1.0 / share_per_s)
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -9,7 +9,7 @@
 use crate::endpoint::Endpoint;
 use crate::fleet::{DEFAULT_ENTRY_COUNT, REPORT_TTL};
 use crate::in_flight::{InFlightRequest, PlacementId};
-use crate::named_limit::{LimitedCapacity, combined_interval, interval};
+use crate::named_limit::{LimitedCapacity, combined_interval, send_interval};
 use crate::placement::{
     FAILURE_WEIGHT, GenerationSize, JITTER_MAX, MEMORY_FILL_MAX, OUTPUT_RESERVE,
     PREFILL_FULL_TOKENS, PlacedRequest, Placement, PlacementRequest, REMOTE_ZONE_PENALTY,
@@ -94,7 +94,7 @@
             .map(|endpoint| {
                 let sharing = endpoint.sharing_entries(now, entries);
                 let limit = endpoint.named_limit?;
-                Some((limit.next_at, interval(limit.rate, sharing)))
+                Some((limit.next_at, send_interval(limit.rate, sharing)))
             })
             .collect();
         let limits = limits?;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -304,7 +304,8 @@
         let took_ms = self.now().since(sent_at).as_ms();
         match response {
             Ok(reply) => {
-                self.record_endpoint_state(job, endpoint, sent_at, &reply);
+                self.record_endpoint_state(endpoint, &reply);
+                self.record_named_limit(job, endpoint, sent_at, &reply);
                 self.classify_reply(job, permit, reply, took_ms)
             }
             Err(SendError::NotSent(reason)) => {
@@ -406,13 +407,7 @@
     }
 
     /// Updates the endpoint table with what a response says about its endpoint.
-    pub(crate) fn record_endpoint_state(
-        &self,
-        job: &Job,
-        endpoint: &EndpointId,
-        sent_at: Time,
-        reply: &Reply,
-    ) {
+    pub(crate) fn record_endpoint_state(&self, endpoint: &EndpointId, reply: &Reply) {
         let now = self.now();
         let mut fleet = self.fleet.borrow_mut();
         if let Some(load) = reply.load {
@@ -421,12 +416,18 @@
         if let Some(cold_for) = reply.cold_for {
             fleet.record_cold(now, endpoint, cold_for);
         }
-        let from_endpoint = match reply.attestation {
+    }
+
+    /// Updates the limit that an endpoint names with its responses.
+    fn record_named_limit(&self, job: &Job, endpoint: &EndpointId, sent_at: Time, reply: &Reply) {
+        // A response that proves nothing can name a limit, as caution costs little, and not
+        // withdraw one.
+        let counts = match reply.attestation {
             Attestation::Ran | Attestation::NotRun => true,
             Attestation::OtherEndpoint => false,
             Attestation::Nothing => reply.rate_limit.is_some(),
         };
-        if !from_endpoint {
+        if !counts {
             return;
         }
         let notice = LimitNotice {
@@ -434,17 +435,19 @@
             rate: reply.rate_limit,
             phase_seed: job.request.id.stable_hash(),
         };
-        match fleet.record_limit(now, endpoint, notice) {
+        let change = self
+            .fleet
+            .borrow_mut()
+            .record_limit(self.now(), endpoint, notice);
+        match change {
             Some(LimitChange::Named(rate)) => {
                 log::info!(endpoint:% = endpoint, limit:% = rate; "endpoint named a limit");
             }
             Some(LimitChange::Withdrawn) => {
                 log::info!(endpoint:% = endpoint; "endpoint withdrew its limit");
             }
-            None => return,
+            None => {}
         }
-        let limited = i64::try_from(fleet.limited_endpoints()).unwrap_or(i64::MAX);
-        self.metrics.limited.set(limited);
     }
 
     /// Serves a request whose response is buffered. Hedges it if it may run twice.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -250,6 +250,9 @@
         self.metrics.waiting.set(waiting);
         let running = i64::try_from(self.runs.len()).unwrap_or(i64::MAX);
         self.metrics.running.set(running);
+        let limited = self.fleet.borrow().limited_endpoints();
+        let limited = i64::try_from(limited).unwrap_or(i64::MAX);
+        self.metrics.limited.set(limited);
     }
 
     /// Applies an update from the control thread.
