--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -1,5 +1,6 @@
 //! The process next to a model engine that reports its state to gateways.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -338,7 +339,7 @@
     interval.clamp(LOAD_REPORT_INTERVAL, HEARTBEAT_INTERVAL)
 }
 
-/// Leaves out the crash reports if the gateway has them from the report that was `sent`
+/// Leaves out the crash reports that the gateway has from the report that was `sent`
 /// before.
 fn without_known_reports(
     mut report: v1::EngineReport,
@@ -347,15 +348,16 @@
     let Some(sent) = sent else {
         return report;
     };
-    if report.rumours == sent.rumours {
-        report.rumours.clear();
-    }
-    if report.part_crashes == sent.part_crashes {
-        report.part_crashes.clear();
-    }
+    retain_new(&mut report.rumours, &sent.rumours);
+    retain_new(&mut report.part_crashes, &sent.part_crashes);
     report
 }
 
+fn retain_new(texts: &mut Vec<String>, sent: &[String]) {
+    let sent: BTreeSet<_> = sent.iter().collect();
+    texts.retain(|text| !sent.contains(text));
+}
+
 /// Waits for the next report to send to a gateway: a change of stage, boot or
 /// crash reports at once, a change of load at most every
 /// [`load_report_interval`], and any report every [`HEARTBEAT_INTERVAL`].
