--- a/crates/poison/tests/it/part_suspects.rs
+++ b/crates/poison/tests/it/part_suspects.rs
@@ -217,6 +217,19 @@
     }
 }
 
+/// Two parts that crash engines at the same time are both recognised.
+#[test]
+fn two_crashing_parts() {
+    let mut table = table();
+    for number in 0..3 {
+        begun(&mut table, 2 * number, &[1, 2, CRASHING]);
+        begun(&mut table, 2 * number + 1, &[1, 3, CRASHING + 1]);
+    }
+    assert!(refused(&table, &[1, 2, CRASHING]));
+    assert!(refused(&table, &[1, 3, CRASHING + 1]));
+    assert!(!refused(&table, &[1, 2, 3]));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 300,
