Refuse the larger combination first when parts of prompts crash engines

Seen: with two crashing parts at the same time that share a companion, the companion was refused, and sound requests with it. Cause: the companion alone explains the crashes of both, and weighed more than each combination. Change: combinations with more parts are taken first, and crashes at which a request was only present count only if those with a begun answer don't suffice, so that an unrelated crash does not narrow a combination. Measured: part_suspects::two_crashing_parts failed before, passes now; all 28 tests of crates/poison pass, and prompt_part and poison_request.

--- a/crates/poison/src/part_suspects.rs
+++ b/crates/poison/src/part_suspects.rs
@@ -9,8 +9,6 @@
 
 /// Strikes for a crash before the first event of an answer that had begun.
 const STRIKES_ANSWER_BEGUN: u32 = 2;
-/// Weight, in strikes, of each further part that the requests have in common.
-const STRIKES_PER_PART: usize = 2;
 /// Strikes for crashes at which a request was only present.
 const STRIKES_PRESENT: u32 = 1;
 /// Time in which crashes at which a request was only present count once. Engines that
@@ -88,14 +86,11 @@
 }
 
 impl Explanation {
-    /// Explanations with more weight are taken first. Parts that accompany the crashing one
-    /// may be in an unrelated crash as well, which must not make them the better
-    /// explanation, so that what has more parts in common weighs more.
-    fn weight(&self) -> (usize, usize) {
-        let strikes = usize::try_from(self.strikes).unwrap_or(usize::MAX);
-        let further = self.parts.len().saturating_sub(1);
-        let weight = strikes.saturating_add(further * STRIKES_PER_PART);
-        (weight, self.parts.len())
+    /// Explanations with more weight are taken first. What has more parts in common comes
+    /// first, as it refuses less: parts that accompany the crashing one may also accompany
+    /// another crashing part, or be in an unrelated crash.
+    fn weight(&self) -> (usize, u32) {
+        (self.parts.len(), self.strikes)
     }
 }
 
@@ -290,12 +285,24 @@
             .max_by_key(Explanation::weight)
     }
 
-    /// What the accusations of a part have in common, if it has enough strikes.
+    /// What the accusations of a part have in common, if it has enough strikes. Crashes at
+    /// which a request was only present count if the others don't suffice.
     fn explain(
         &self,
         part: PromptPartId,
         accusations: &[Accusation],
         known: &[CrashingParts],
+    ) -> Option<Explanation> {
+        self.explain_by(Evidence::AnswerBegun, part, accusations, known)
+            .or_else(|| self.explain_by(Evidence::Present, part, accusations, known))
+    }
+
+    fn explain_by(
+        &self,
+        weakest: Evidence,
+        part: PromptPartId,
+        accusations: &[Accusation],
+        known: &[CrashingParts],
     ) -> Option<Explanation> {
         let known = known.iter().filter(|known| known.parts.contains(&part));
         let mut common = known
@@ -310,6 +317,9 @@
         let mut together_until = Time::ZERO;
         let mut crashes = BTreeSet::new();
         for (index, crash) in self.crashes.iter().enumerate() {
+            if weakest == Evidence::AnswerBegun && !crash.answer_begun() {
+                continue;
+            }
             let accused: BTreeSet<_> = accusations
                 .iter()
                 .filter(|accusation| accusation.crash == index && accusation.parts.contains(&part))
