review: case 5, a gateway stands still while its log isn't read

Cause: log lines are written to standard output synchronously by the thread that serves callers; a full pipe blocks it.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,116 +1,103 @@
-"""A stream without length or chunks is passed on as complete although the gateway itself had
-ordered its engine to stop the run, and the run never went on."""
+"""A gateway whose log is read late stops to answer requests and readiness checks."""
 
-import json
 import os
 import sys
 import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
-from standins import ENGINE, Replica, config, now, response, route, run, send_request, service, TROUBLE
+from standins import Reader, Replica, config, now, response, route, run, service, TROUBLE
+import socket
 
-EVENTS, GAP_S = 234, 0.04
-NOTICE_S = 1.7
-REPORTS = 6
-# A copy waits behind other moves on the link, so that the last ones are not complete when
-# the engine is gone.
-MOVE_S = 1.9
+TIMEOUT_MS, DEADLINE_MS = 800, 1500
+# The time after a route's timeoutMs by which there is a final answer.
+SLACK_S = 0.5
+REQUESTERS, PAUSE_BETWEEN_S = 24, 0.6
+WARM_S, LOG_PAUSE_S, AFTER_S = 3.0, 15.0, 3.0
 
 
-class Engine(Replica):
-    """An engine whose streams end with their connection."""
+class Requester:
+    """Keeps its connection, and waits for each answer until its time budget has passed."""
 
-    def __init__(self, case, name, ip):
-        self.stopped_runs = set()
-        self.leaves_at = None
-        super().__init__(case.record, case.store, name, "lentil-pool",
-                         lambda request, sock, _: self.generate(request, sock), ip)
-        self.api = {"/v1/kv-move": self.move}
+    def __init__(self, case, gateway, name):
+        self.case, self.gateway, self.name = case, gateway, name
+        # (attempt, sent at, time until the final answer or None)
+        self.sent = []
 
-    def generate(self, request, sock):
-        self.ran(request)
-        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-        head += "".join(f"{name}: {value}\r\n" for name, value in self.signed(request))
-        sock.sendall((head + "\r\n").encode())
-        first = int(request.headers.get("last-event-id", "-1")) + 1
-        for number in range(first, EVENTS):
-            if request.id in self.stopped_runs:
-                self.record.write(f"{self.name} stops {request.id} before event {number}")
-                return False
-            if self.leaves_at is not None and now() >= self.leaves_at:
-                # The engine breaks off inside an event.
-                sock.sendall(f"id: {number}\nda".encode())
-                return False
-            sock.sendall(f"id: {number}\ndata: {number}\n\n".encode())
-            time.sleep(GAP_S)
-        self.record.write(f"{self.name} ends {request.id}")
-        return False
+    def loop(self, until):
+        number = 0
+        while now() < until:
+            try:
+                ip, port = self.gateway.callers.split(":")
+                with socket.create_connection((ip, int(port)), timeout=1.0) as sock:
+                    sock.settimeout(DEADLINE_MS / 1000)
+                    reader = Reader(sock)
+                    while now() < until:
+                        number += 1
+                        self.one(sock, reader, f"{self.name}-{number}")
+                        time.sleep(PAUSE_BETWEEN_S)
+            except (OSError, EOFError):
+                time.sleep(PAUSE_BETWEEN_S)
 
-    def move(self, request, sock):
-        order = json.loads(request.body)
-        self.record.write(f"{self.name} is told to move {order['id']}, last {order['last']}")
-        if not order["last"]:
-            time.sleep(0.05)
-            sock.sendall(response(200, b'{"handle":"h1","created":3}'))
-            return True
-        self.stopped_runs.add(order["id"])
-        done_at = now() + MOVE_S
-        if self.leaves_at is not None and done_at > self.leaves_at:
-            # The engine is gone before the copy is complete.
-            time.sleep(max(0.0, self.leaves_at - now()))
-            return False
-        time.sleep(MOVE_S)
-        sock.sendall(response(200, b'{"handle":"h1","created":3}'))
-        return True
-
-    def leave(self):
-        self.state = "draining"
-        self.leaves_at = now() + NOTICE_S
-        self.beat()
-        while now() < self.leaves_at:
-            left_ms = int((self.leaves_at - now()) * 1000)
-            self.extra_report = {"state": "draining", "leaves_ms": max(0, left_ms)}
-            time.sleep(0.02)
-        self.stopped = True
-        self.store.put("keyed.servers", self.name, None)
-        self.server.listener.close()
-        self.record.write(f"{self.name} has left")
+    def one(self, sock, reader, attempt):
+        entry = [attempt, now(), None]
+        self.sent.append(entry)
+        try:
+            sock.sendall((f"POST /sign/a HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {attempt}\r\n"
+                          f"Deadline-Ms: {DEADLINE_MS}\r\nAuthorization: Bearer k1\r\n"
+                          f"Content-Length: 4\r\n\r\nsign").encode())
+            start, headers = reader.head()
+            reader.exactly(int(headers.get("content-length", "0")))
+            entry[2] = now() - entry[1]
+            self.case.record.write(f"{attempt} answered {start.split(' ')[1]} after {entry[2]:.2f} s")
+        except (OSError, EOFError) as error:
+            self.case.record.write(f"{attempt} got no answer in {now() - entry[1]:.2f} s: {error!r}")
+            raise
 
 
 def body(case):
-    routes = [route("report", "/report/", "streaming", "lentil-pool", 39000, 1800, 1, gapTargetMs=180)]
-    tenants = [{"name": "t1", "apiKeys": ["k1"], "priority": 1}]
-    pool = service("lentil-pool", ENGINE, coldStartS=1.0, coldPerS=41.0)
-    case.store.put("keyed.op", "config", config(1, routes, [pool], tenants))
-    engines = [Engine(case, "i-1", "127.0.0.11"), Engine(case, "i-2", "127.0.0.12")]
-    for engine in engines:
-        case.observer(engine)
-    gateway = case.gateway()
-    case.wait_ready(gateway, 2)
-    answers = {}
-
-    def report(name):
-        headers = [("Model", "m"), ("Token-Usage", "3000,936"),
-                   ("Prompt-Prefix", "5c1e07a2:47,91bd3f06:32,e4402b7d:2921")]
-        answer = send_request(gateway.callers, "/report/a", name, "k1", deadline_ms=39000,
-                              headers=headers, patience_s=7.2)
-        answers[name] = answer
-        case.record.write(f"{name} answered {answer}, {answer.body.count(b'data:')} events")
+    def serve(request, sock, replica):
+        replica.ran(request)
+        time.sleep(0.03)
+        sock.sendall(response(200, b"done", replica.signed(request)))
+        return True
 
-    threads = [threading.Thread(target=report, args=(f"report-{n}",)) for n in range(REPORTS)]
+    routes = [route("sign", "/sign/", "non_idempotent", "certdesk", TIMEOUT_MS, 150, 1)]
+    tenants = [{"name": "t1", "apiKeys": ["k1"], "priority": 1}]
+    case.store.put("keyed.op", "config", config(1, routes, [service("certdesk")], tenants))
+    replicas = [Replica(case.record, case.store, f"i-{n}", "certdesk", serve, slots=6) for n in (1, 2, 3)]
+    gateway = case.gateway(log_pipe=True)
+    case.wait_ready(gateway, len(replicas))
+    until = now() + WARM_S + LOG_PAUSE_S + AFTER_S
+    requesters = [Requester(case, gateway, f"r{n}") for n in range(REQUESTERS)]
+    threads = [threading.Thread(target=requester.loop, args=(until,)) for requester in requesters]
     for thread in threads:
         thread.start()
-        time.sleep(0.1)
-    time.sleep(2.0)
+    time.sleep(WARM_S)
     if TROUBLE:
-        case.record.write(f"i-1 is to be taken away in {NOTICE_S} s")
-        threading.Thread(target=engines[0].leave, daemon=True).start()
+        case.record.write("the reader of the gateway's log pauses")
+        gateway.collector.pause()
+    paused_until = now() + LOG_PAUSE_S
+    misses = 0
+    while now() < paused_until:
+        status = case.readiness(gateway)
+        misses += status != 200
+        case.record.write(f"readiness {status or 'without an answer'}")
+        time.sleep(1.0)
+    case.record.write("the reader of the gateway's log goes on")
+    gateway.collector.go_on()
     for thread in threads:
         thread.join()
-    return [f"the stream of {name} ended as complete after {answer.body.count(b'data:')} of {EVENTS} events"
-            for name, answer in answers.items()
-            if answer.status == 200 and answer.complete and answer.body.count(b"data:") < EVENTS]
+    due_s = TIMEOUT_MS / 1000
+    sent = [entry for requester in requesters for entry in requester.sent]
+    longer = [entry for entry in sent if entry[2] is None or entry[2] > due_s]
+    late = [entry for entry in longer if entry[2] is None or entry[2] > due_s + SLACK_S]
+    case.record.write(f"of {len(sent)} requests {len(longer)} lasted longer than timeoutMs; {len(late)} of these had "
+                      f"no final answer {SLACK_S} s after it; {misses} readiness checks failed")
+    if len(late) >= 8 and len(late) > len(longer) / 4:
+        return [f"{len(late)} of {len(longer)} requests that lasted longer than timeoutMs had no final answer "
+                f"{SLACK_S} s after it"]
+    return []
 
 
 run(__file__, body)
