Review case 3: a config with a space in a customer's name is dropped

Cause: a version that adds a customer whose name has a space is dropped as a whole by both gateways, while the store's answer still counts as a confirmation of the version before it. A key that the same version took away goes on to run, and the new customer's requests are answered 401.

Adds the script for it.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,116 +1,71 @@
-"""A stream without length or chunks is passed on as complete although the gateway itself had
-ordered its engine to stop the run, and the run never went on."""
+"""A configuration that adds a customer with a space in its name is dropped as a whole, while the
+gateway goes on to trust the configuration before it."""
 
-import json
 import os
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
-from standins import ENGINE, Replica, config, now, response, route, run, send_request, service, TROUBLE
+from standins import Replica, config, now, response, route, run, send_request, service, TROUBLE
 
-EVENTS, GAP_S = 234, 0.04
-NOTICE_S = 1.7
-REPORTS = 6
-# A copy waits behind other moves on the link, so that the last ones are not complete when
-# the engine is gone.
-MOVE_S = 1.9
+CUSTOMER = os.environ.get("CUSTOMER", "touring venue group")
+REVOKE_S, CONFIG_APPLY_S = 5.0, 2.0
+LENGTH_S = 15.0
+# A zone of the site sends about 9 sign-offs a second to its gateways.
+PAUSE_S = 0.3
 
 
-class Engine(Replica):
-    """An engine whose streams end with their connection."""
+class Desk(Replica):
+    """A replica of the service for sign-offs."""
 
-    def __init__(self, case, name, ip):
-        self.stopped_runs = set()
-        self.leaves_at = None
-        super().__init__(case.record, case.store, name, "lentil-pool",
-                         lambda request, sock, _: self.generate(request, sock), ip)
-        self.api = {"/v1/kv-move": self.move}
+    def __init__(self, case, number):
+        super().__init__(case.record, case.store, f"c-{number}", "certdesk",
+                         lambda request, sock, _: self.sign_off(request, sock), slots=6)
 
-    def generate(self, request, sock):
+    def sign_off(self, request, sock):
         self.ran(request)
-        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-        head += "".join(f"{name}: {value}\r\n" for name, value in self.signed(request))
-        sock.sendall((head + "\r\n").encode())
-        first = int(request.headers.get("last-event-id", "-1")) + 1
-        for number in range(first, EVENTS):
-            if request.id in self.stopped_runs:
-                self.record.write(f"{self.name} stops {request.id} before event {number}")
-                return False
-            if self.leaves_at is not None and now() >= self.leaves_at:
-                # The engine breaks off inside an event.
-                sock.sendall(f"id: {number}\nda".encode())
-                return False
-            sock.sendall(f"id: {number}\ndata: {number}\n\n".encode())
-            time.sleep(GAP_S)
-        self.record.write(f"{self.name} ends {request.id}")
-        return False
-
-    def move(self, request, sock):
-        order = json.loads(request.body)
-        self.record.write(f"{self.name} is told to move {order['id']}, last {order['last']}")
-        if not order["last"]:
-            time.sleep(0.05)
-            sock.sendall(response(200, b'{"handle":"h1","created":3}'))
-            return True
-        self.stopped_runs.add(order["id"])
-        done_at = now() + MOVE_S
-        if self.leaves_at is not None and done_at > self.leaves_at:
-            # The engine is gone before the copy is complete.
-            time.sleep(max(0.0, self.leaves_at - now()))
-            return False
-        time.sleep(MOVE_S)
-        sock.sendall(response(200, b'{"handle":"h1","created":3}'))
+        time.sleep(0.03)
+        sock.sendall(response(200, b"x" * 800, self.signed(request)))
         return True
 
-    def leave(self):
-        self.state = "draining"
-        self.leaves_at = now() + NOTICE_S
-        self.beat()
-        while now() < self.leaves_at:
-            left_ms = int((self.leaves_at - now()) * 1000)
-            self.extra_report = {"state": "draining", "leaves_ms": max(0, left_ms)}
-            time.sleep(0.02)
-        self.stopped = True
-        self.store.put("keyed.servers", self.name, None)
-        self.server.listener.close()
-        self.record.write(f"{self.name} has left")
-
 
 def body(case):
-    routes = [route("report", "/report/", "streaming", "lentil-pool", 39000, 1800, 1, gapTargetMs=180)]
-    tenants = [{"name": "t1", "apiKeys": ["k1"], "priority": 1}]
-    pool = service("lentil-pool", ENGINE, coldStartS=1.0, coldPerS=41.0)
-    case.store.put("keyed.op", "config", config(1, routes, [pool], tenants))
-    engines = [Engine(case, "i-1", "127.0.0.11"), Engine(case, "i-2", "127.0.0.12")]
-    for engine in engines:
-        case.observer(engine)
-    gateway = case.gateway()
-    case.wait_ready(gateway, 2)
-    answers = {}
-
-    def report(name):
-        headers = [("Model", "m"), ("Token-Usage", "3000,936"),
-                   ("Prompt-Prefix", "5c1e07a2:47,91bd3f06:32,e4402b7d:2921")]
-        answer = send_request(gateway.callers, "/report/a", name, "k1", deadline_ms=39000,
-                              headers=headers, patience_s=7.2)
-        answers[name] = answer
-        case.record.write(f"{name} answered {answer}, {answer.body.count(b'data:')} events")
+    def version(number, *tenants):
+        signoffs = route("signoff", "/signoff/", "non_idempotent", "certdesk", 800, 150, 1)
+        tenants = [{"name": name, "apiKeys": keys, "priority": 1} for name, keys in tenants]
+        return config(number, [signoffs], [service("certdesk")], tenants)
 
-    threads = [threading.Thread(target=report, args=(f"report-{n}",)) for n in range(REPORTS)]
-    for thread in threads:
-        thread.start()
-        time.sleep(0.1)
-    time.sleep(2.0)
+    case.store.put("keyed.op", "config", version(1, ("huka270", ["k-kept", "k-revoked"])))
+    desks = [Desk(case, number) for number in (1, 2, 3)]
+    gateways = [case.gateway(), case.gateway()]
+    for gateway in gateways:
+        case.wait_ready(gateway, len(desks))
+    tenants = [("huka270", ["k-kept"])]
     if TROUBLE:
-        case.record.write(f"i-1 is to be taken away in {NOTICE_S} s")
-        threading.Thread(target=engines[0].leave, daemon=True).start()
-    for thread in threads:
-        thread.join()
-    return [f"the stream of {name} ended as complete after {answer.body.count(b'data:')} of {EVENTS} events"
-            for name, answer in answers.items()
-            if answer.status == 200 and answer.complete and answer.body.count(b"data:") < EVENTS]
+        tenants.append((CUSTOMER, ["k-new"]))
+    acked_at = case.store.put("keyed.op", "config", version(2, *tenants))
+    added = f", adds customer {CUSTOMER!r} with k-new" if TROUBLE else ""
+    case.record.write(f"acknowledged: version 2, takes k-revoked away{added}")
+    sent_at, refused = {}, []
+    while now() < acked_at + LENGTH_S:
+        for number, gateway in enumerate(gateways):
+            for key in ("k-kept", "k-revoked") + (("k-new",) if TROUBLE else ()):
+                attempt = f"{key}-{len(sent_at)}"
+                sent_at[attempt] = now()
+                answer = send_request(gateway.callers, "/signoff/a", attempt, key,
+                                      deadline_ms=1500, patience_s=1.5)
+                age_s = sent_at[attempt] - acked_at
+                case.record.write(f"{attempt}, sent {age_s:.2f} s after the ack to gateway {number}: {answer}")
+                if key == "k-new" and answer.status in (401, 403, 404) and age_s > CONFIG_APPLY_S:
+                    refused.append(f"{attempt} was answered {answer.status} {age_s:.1f} s after the ack")
+        time.sleep(PAUSE_S)
+    ready = [case.readiness(gateway) for gateway in gateways]
+    case.record.write(f"readiness of the gateways: {ready}")
+    ran = {attempt for desk in desks for _, attempt in desk.runs}
+    late = {attempt: at - acked_at for attempt, at in sent_at.items()
+            if attempt.startswith("k-revoked") and attempt in ran and at > acked_at + REVOKE_S}
+    return [f"{attempt} ran, sent {age_s:.1f} s after its key was taken away"
+            for attempt, age_s in late.items()] + refused
 
 
 run(__file__, body)
