An endpoint's Keep-Alive number ends the gateway: limit it

What callers saw: all connections of a gateway closed at once.

Cause: the connection pool took the idle timeout of an answer without a limit and added it to the current time. A sum that the clock can't hold panics, and the deploy profile aborts on a panic. The pool is shared, so an answer of the store, an engine's report to its observer and an answer to a copy request had the same effect.

Evidence: the process writes "overflow when adding duration to instant" and ends only after an answer with such a number to a request that may use a kept connection.

Change: a stated timeout counts for at most 60 s, also where the number does not fit 64 bits, so the sum is always within the clock's range. Reuse of connections after sound numbers is unchanged. The test harness now fails, and no longer hangs, if a log line never appears.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::num::IntErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -27,6 +28,8 @@
 const REUSE_DELAY: Duration = Duration::from_millis(5);
 /// Idle timeout if the peer does not state one.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(2);
+/// Longest time that a connection is kept idle, whatever timeout its peer states.
+const IDLE_TIMEOUT_MAX: Duration = Duration::from_secs(60);
 /// Margin below the idle timeout that a peer states.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_200);
 /// Most idle connections to one peer.
@@ -274,14 +277,32 @@
         value
             .split(',')
             .find_map(|part| part.trim().strip_prefix("timeout="))
-            .and_then(|seconds| seconds.trim().parse().ok())
+            .and_then(parse_idle_timeout)
     });
-    let usable_for = stated.map_or(IDLE_TIMEOUT_DEFAULT, |seconds| {
-        Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN)
+    let usable_for = stated.map_or(IDLE_TIMEOUT_DEFAULT, |stated| {
+        stated.saturating_sub(IDLE_MARGIN)
     });
     (!usable_for.is_zero()).then_some(usable_for)
 }
 
+/// Parses whole seconds, limited to [`IDLE_TIMEOUT_MAX`]. Returns `None` if the text is
+/// not a number.
+///
+/// A peer may state any number, and adding one that is too large to a point in time
+/// panics.
+fn parse_idle_timeout(text: &str) -> Option<Duration> {
+    let seconds = match text.trim().parse::<u64>() {
+        Ok(seconds) => seconds,
+        Err(error) if *error.kind() == IntErrorKind::PosOverflow => u64::MAX,
+        Err(_) => return None,
+    };
+    let stated = Duration::from_secs(seconds);
+    if stated > IDLE_TIMEOUT_MAX {
+        log::debug!(stated_s = seconds; "limited the idle timeout that a peer stated");
+    }
+    Some(stated.min(IDLE_TIMEOUT_MAX))
+}
+
 async fn connect(peer: SocketAddr) -> Result<Connection, PoolError> {
     let failed = |reason: String| PoolError::NotSent { peer, reason };
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer))
--- a/crates/lentiltray/tests/it/daemon_process.rs
+++ b/crates/lentiltray/tests/it/daemon_process.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use lentil_fakes::{EngineOptions, FakeEngine, FakeHostList, FakeLog, HostListOptions, LogOptions};
 use lentil_site::MODEL;
@@ -14,6 +14,9 @@
 /// Time allowed for a signal to take effect.
 const SIGNAL_DELAY: Duration = Duration::from_millis(100);
 
+/// Time allowed for a log line to appear.
+const LINE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// A running daemon process, killed on drop.
 pub(crate) struct DaemonProcess {
     child: Child,
@@ -159,7 +162,8 @@
 /// Returns the first line whose message contains `part` and appends the lines before
 /// it to `skipped`.
 fn wait_for(lines: &Receiver<Value>, part: &str, skipped: &mut Vec<Value>) -> Value {
-    for line in lines {
+    let end = Instant::now() + LINE_TIMEOUT;
+    while let Ok(line) = lines.recv_timeout(end.saturating_duration_since(Instant::now())) {
         if message_contains(&line, part) {
             return line;
         }
--- a/crates/lentiltray/tests/it/gateway_harness.rs
+++ b/crates/lentiltray/tests/it/gateway_harness.rs
@@ -74,6 +74,13 @@
         });
         requests.cloned().collect()
     }
+
+    /// Number of times that its report was asked for.
+    pub(crate) fn report_count(&self) -> usize {
+        let received = self.received.lock().unwrap();
+        let is_report = |request: &&Request| request.target == "/v1/report";
+        received.iter().filter(is_report).count()
+    }
 }
 
 /// Writes a response and keeps the connection open.
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -20,6 +20,7 @@
 mod forwarded_requests;
 mod gateway_harness;
 mod graceful_stop;
+mod keep_alive;
 mod keyed_calls;
 mod killed_executor;
 mod lost_store;
