A part of the configuration's backlog was trusted as all of it

Cause: one read of the log returns at most 1,024 KB. The head of the response says where the log ends, and the parser skipped it, so every response counted as a confirmation that nothing newer had been written, and extended the trust in the newest version of the part.

Two daemon tests failed before the fix with 200 for a revoked key: directly, and through an observer that reads the store for gateways.

Change: a page carries the time of its confirmation only if it reaches the end of the log, so the type tells a part from the whole wherever pages are used: gateways, observers' copies, both topics. A part is put in force but extends no trust, and is followed by the next read without a pause.

Why it works: the trust is extended only by a read that has seen everything written before it.

--- a/crates/feed/src/record.rs
+++ b/crates/feed/src/record.rs
@@ -33,9 +33,10 @@
     /// Whether `records` holds the newest record of every key rather than the
     /// records from an offset on.
     pub is_snapshot: bool,
-    /// When the log was asked, at the latest: what was appended before this time is
-    /// in the page or was in an earlier one.
-    pub confirmed_at: Time,
+    /// When the log was asked, at the latest, if the page reaches the end of the log: what
+    /// was appended before this time is in the page or was in an earlier one. `None` if
+    /// more records follow, so that nothing is known about newer ones.
+    pub confirmed_at: Option<Time>,
     /// When the log last failed to answer a relay, if it did.
     pub log_failed_at: Option<Time>,
 }
--- a/crates/feed/src/topic_cache.rs
+++ b/crates/feed/src/topic_cache.rs
@@ -81,7 +81,9 @@
             self.add(record, !page.is_snapshot);
         }
         self.next = Some(page.next);
-        self.confirmed_at = self.confirmed_at.max(page.confirmed_at);
+        if let Some(confirmed_at) = page.confirmed_at {
+            self.confirmed_at = self.confirmed_at.max(confirmed_at);
+        }
         Ok(())
     }
 
@@ -127,7 +129,7 @@
             records,
             next,
             is_snapshot,
-            confirmed_at: self.confirmed_at,
+            confirmed_at: Some(self.confirmed_at),
             log_failed_at: self.log_failed_at,
         };
         match from {
--- a/crates/feed/tests/it/topic_copy.rs
+++ b/crates/feed/tests/it/topic_copy.rs
@@ -20,11 +20,25 @@
         records,
         next: Offset::new(next),
         is_snapshot,
-        confirmed_at: Time::from_us(next),
+        confirmed_at: Some(Time::from_us(next)),
         log_failed_at: None,
     }
 }
 
+/// The first records of a page, as a response of limited size holds them.
+fn part(page: RecordPage, length: usize) -> RecordPage {
+    if page.is_snapshot || page.records.len() <= length {
+        return page;
+    }
+    let next = page.records[length].offset;
+    RecordPage {
+        records: page.records[..length].to_vec(),
+        next,
+        confirmed_at: None,
+        ..page
+    }
+}
+
 /// The log: a list of records, of which the oldest may be deleted.
 #[derive(Default)]
 struct Log {
@@ -86,6 +100,7 @@
     Append(u8, Option<u8>),
     DeleteHistory,
     RelayReads(usize),
+    RelayReadsPart(usize, usize),
     ReaderAsksRelay(usize),
     ReaderAsksLog,
 }
@@ -96,6 +111,8 @@
             .prop_map(|(key, value)| Step::Append(key, value)),
         1 => Just(Step::DeleteHistory),
         3 => (0_usize..2).prop_map(Step::RelayReads),
+        1 => (0_usize..2, 1_usize..4)
+            .prop_map(|(relay, length)| Step::RelayReadsPart(relay, length)),
         3 => (0_usize..2).prop_map(Step::ReaderAsksRelay),
         1 => Just(Step::ReaderAsksLog),
     ]
@@ -127,6 +144,10 @@
                     let page = log.read(relays[relay].next());
                     relays[relay].apply(page).unwrap();
                 }
+                Step::RelayReadsPart(relay, length) => {
+                    let page = log.read(relays[relay].next());
+                    relays[relay].apply(part(page, length)).unwrap();
+                }
                 Step::ReaderAsksRelay(relay) => match relays[relay].read(reader.next) {
                     Ok(page) => reader.apply(page),
                     Err(CacheError::NotLoaded) => prop_assert!(relays[relay].next().is_none()),
@@ -136,6 +157,11 @@
             }
             let read_up_to = reader.next.map_or(0, |next| usize::try_from(next.get()).unwrap());
             prop_assert_eq!(&reader.newest, &history[read_up_to]);
+            // Time is counted in appended records here, so a confirmation is an offset.
+            for relay in &relays {
+                let read_up_to = Time::from_us(relay.next().map_or(0, Offset::get));
+                prop_assert!(relay.confirmed_at() <= read_up_to);
+            }
         }
     }
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -45,9 +45,10 @@
 /// An update from the control thread.
 #[derive(Debug)]
 pub(crate) enum Update {
-    /// Changes made by operators. `confirmed_at` is when the store was asked.
+    /// Changes made by operators. `confirmed_at` is when the store was asked; `None` if it
+    /// has newer changes than these.
     Operator {
-        confirmed_at: Time,
+        confirmed_at: Option<Time>,
         changes: OperatorChanges,
     },
     /// Changed endpoint entries.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -270,7 +270,9 @@
                     log::info!(zones:? = zones; "availability zones out of service changed");
                     self.fleet.borrow_mut().set_excluded_zones(zones);
                 }
-                self.active_config.borrow_mut().confirm(confirmed_at);
+                if let Some(confirmed_at) = confirmed_at {
+                    self.active_config.borrow_mut().confirm(confirmed_at);
+                }
                 let trusted_until = self.active_config.borrow().valid_until();
                 self.update_readiness(|readiness| readiness.config_trusted_until = trusted_until);
             }
--- a/crates/gateway/src/log_relay.rs
+++ b/crates/gateway/src/log_relay.rs
@@ -106,12 +106,12 @@
                 .and_then(|page| Self::apply(copy, page));
             copy.reads.send_modify(|reads| *reads += 1);
             match applied {
-                Ok(()) => {
+                Ok(is_complete) => {
                     if std::mem::take(&mut failing) {
                         log::info!(topic:? = copy.topic; "the store is reachable again");
                     }
                     retry_delay = RETRY_DELAY_MIN;
-                    if copy.topic == LogTopic::Endpoints {
+                    if copy.topic == LogTopic::Endpoints && is_complete {
                         tokio::time::sleep(ENDPOINTS_PAUSE).await;
                     }
                 }
@@ -127,9 +127,12 @@
         }
     }
 
-    fn apply(copy: &TopicCopy, page: RecordPage) -> Result<(), String> {
+    /// Returns whether the copy has caught up with the log.
+    fn apply(copy: &TopicCopy, page: RecordPage) -> Result<bool, String> {
+        let is_complete = page.confirmed_at.is_some();
         let mut state = copy.state();
-        state.cache.apply(page).map_err(|error| error.to_string())
+        state.cache.apply(page).map_err(|error| error.to_string())?;
+        Ok(is_complete)
     }
 
     /// Answers a gateway from the copy. Waits for new records, a newer confirmation or
@@ -160,12 +163,12 @@
         loop {
             let read = copy.state().cache.read(from);
             let waits = match &read {
-                Ok(page) if page.confirmed_at > known_confirmation => false,
-                Ok(page) if page.confirmed_at >= recent_from => false,
+                Ok(page) if page.confirmed_at > Some(known_confirmation) => false,
+                Ok(page) if page.confirmed_at >= Some(recent_from) => false,
                 // The copy of a relay that was idle is too old for any reader.
                 Ok(page) => {
-                    page.records.is_empty()
-                        || (page.confirmed_at + COPY_AGE_MAX).has_passed(received_at)
+                    let is_old = |at: Time| (at + COPY_AGE_MAX).has_passed(received_at);
+                    page.records.is_empty() || page.confirmed_at.is_none_or(is_old)
                 }
                 Err(CacheError::NotLoaded | CacheError::Behind { .. }) => true,
                 Err(CacheError::Older { .. }) => false,
@@ -194,7 +197,8 @@
             }
         })?;
         let now = self.clock.now();
-        let offset = ConfirmationOffset::between(received_at, page.confirmed_at);
+        let confirmed_at = page.confirmed_at.unwrap_or(Time::ZERO);
+        let offset = ConfirmationOffset::between(received_at, confirmed_at);
         let records = page.records.into_iter().map(|record| v1::LogRecord {
             offset: record.offset.get(),
             key: record.key,
--- a/crates/gateway/src/relayed_log.rs
+++ b/crates/gateway/src/relayed_log.rs
@@ -135,10 +135,11 @@
     }
 
     fn check_recent(&self, now: Time, page: RecordPage) -> Result<RecordPage, StoreError> {
-        if self.chooser.borrow().is_recent(now, page.confirmed_at) {
+        let confirmed_at = page.confirmed_at.unwrap_or(Time::ZERO);
+        if self.chooser.borrow().is_recent(now, confirmed_at) {
             return Ok(page);
         }
-        let age_ms = now.since(page.confirmed_at).as_ms();
+        let age_ms = now.since(confirmed_at).as_ms();
         Err(StoreError::RelayFailed(format!(
             "its copy was confirmed {age_ms} ms ago"
         )))
@@ -242,7 +243,7 @@
         records: records.collect(),
         next,
         is_snapshot: reply.is_snapshot,
-        confirmed_at,
+        confirmed_at: Some(confirmed_at),
         log_failed_at,
     })
 }
--- a/crates/gateway/src/store_feed.rs
+++ b/crates/gateway/src/store_feed.rs
@@ -56,8 +56,8 @@
 pub struct ConfirmedChanges {
     /// The changes.
     pub changes: StoreChanges,
-    /// When the store was asked, at the latest.
-    pub confirmed_at: Time,
+    /// When the store was asked, at the latest; `None` if it has newer changes than these.
+    pub confirmed_at: Option<Time>,
     /// When the store last failed to answer the process that read it, if it did.
     pub store_failed_at: Option<Time>,
 }
--- a/crates/lentiltray/tests/it/fake_store.rs
+++ b/crates/lentiltray/tests/it/fake_store.rs
@@ -19,6 +19,8 @@
     Silent,
     /// It rejects requests with this status.
     Refusing(u16),
+    /// It serves this many further reads of operators' orders, then no request.
+    OrderReads(usize),
 }
 
 #[derive(Debug, Default)]
@@ -96,15 +98,22 @@
     let mode = {
         let mut state = state.lock().unwrap();
         state.calls += 1;
-        state.mode
+        let mode = state.mode;
+        if request.query("topic") == Some("keyed.op") {
+            state.mode = match mode {
+                StoreMode::OrderReads(reads) => StoreMode::OrderReads(reads.saturating_sub(1)),
+                mode => mode,
+            };
+        }
+        mode
     };
     let bytes = match mode {
-        StoreMode::Silent => {
+        StoreMode::Silent | StoreMode::OrderReads(0) => {
             std::thread::sleep(Duration::from_secs(30));
             return ConnectionAction::Close;
         }
         StoreMode::Refusing(status) => response_with_length(status, "", b""),
-        StoreMode::Serving => store_response(state, request),
+        StoreMode::Serving | StoreMode::OrderReads(_) => store_response(state, request),
     };
     match stream.write_all(&bytes) {
         Ok(()) => ConnectionAction::KeepOpen,
@@ -119,12 +128,18 @@
     }
     let from: usize = request.query("from").unwrap().parse().unwrap();
     let wait_ms = request.query("waitMs").unwrap_or("0").parse().unwrap();
+    let max_kb: usize = request
+        .query("maxReadKb")
+        .unwrap_or("1024")
+        .parse()
+        .unwrap();
     if topic == "keyed.op" {
         state.lock().unwrap().order_wait_ms.push(wait_ms);
     }
     let until = Instant::now() + Duration::from_millis(wait_ms);
     loop {
-        if let Some(bytes) = read_records(state, topic, from, Instant::now() >= until) {
+        let timed_out = Instant::now() >= until;
+        if let Some(bytes) = read_records(state, topic, from, max_kb * 1024, timed_out) {
             return bytes;
         }
         std::thread::sleep(Duration::from_millis(5));
@@ -152,6 +167,7 @@
     state: &Mutex<State>,
     topic: &str,
     from: usize,
+    max_bytes: usize,
     timed_out: bool,
 ) -> Option<Vec<u8>> {
     let mut state = state.lock().unwrap();
@@ -169,6 +185,10 @@
     body.extend_from_slice(&u64::try_from(topic.first).unwrap().to_be_bytes());
     for (key, value) in topic.records.get(from..).unwrap_or(&[]) {
         let length = u32::try_from(1 + key.len() + value.len()).unwrap();
+        let is_first = body.len() == 16;
+        if !is_first && body.len() + value.len() > max_bytes {
+            break;
+        }
         body.extend_from_slice(&length.to_be_bytes());
         body.push(u8::try_from(key.len()).unwrap());
         body.extend_from_slice(key.as_bytes());
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -9,6 +9,7 @@
 
 mod bad_requests;
 mod caller;
+mod config_backlog;
 mod daemon_process;
 mod dropped_idle;
 mod end_to_end;
--- a/crates/lentiltray/tests/it/shared_log.rs
+++ b/crates/lentiltray/tests/it/shared_log.rs
@@ -18,14 +18,14 @@
 
 /// A gateway that reads its store through an observer. The observer has a store of its
 /// own with the same records, so that tests can let one of the two fail.
-struct RelaySite {
-    site: Site,
-    relay_store: Store,
+pub(crate) struct RelaySite {
+    pub(crate) site: Site,
+    pub(crate) relay_store: Store,
     observer: DaemonProcess,
     /// The observer's port.
     port: u16,
     _engine: Replica,
-    desk: Replica,
+    pub(crate) desk: Replica,
 }
 
 fn engine(
@@ -46,7 +46,7 @@
 
 impl RelaySite {
     /// Starts the processes and waits until the gateway reads through the relay.
-    fn start(test: &str) -> Self {
+    pub(crate) fn start(test: &str) -> Self {
         let host = Ipv4Addr::LOCALHOST;
         let engine = Replica::start_at(host, "i-1", engine);
         let desk = Replica::start("i-2", respond_ok);
