A name with a space kept revoked keys alive: free names, and no trust past what can't be used

What callers saw: a version that adds the customer "touring venue group" and takes a key away had no effect.

Cause: names of organisations and services were held to the rule for this project's own identifiers, one violation dropped the whole version, and the read that had brought it still counted as a confirmation of the version before it.

Evidence: both gateways logged "skipped an invalid configuration ... not ' '", stayed ready, and kept version 1; the same version under a name without spaces kept the rule. Before the fix the four tests in free_names failed.

Change: organisations, services, endpoints and availability zones may have any name that a header can hold. An organisation whose name no header can hold is refused alone, with 503. If the newest configuration can't be used at all, the one before it is superseded: no confirmation extends the trust in it until a newer one can be used. Settings keep the strict rule.

Why it works: what can't be understood now ends the trust rather than being taken for absent, so a key that was taken away in it can't run.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -1,6 +1,6 @@
 //! One complete version of the configuration.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use lentil_core::{ByteCount, ConfigVersion, OrganisationId, ServiceName, Span};
 use thiserror::Error;
@@ -42,6 +42,8 @@
     pub services: Vec<Service>,
     /// All organisations; `None` if callers need no API key.
     pub organisations: Option<Vec<Organisation>>,
+    /// API keys of organisations that this system can't serve.
+    pub unusable_keys: HashSet<String>,
     /// Limits on callers' requests and connections.
     pub limits: CallerLimits,
 }
@@ -83,6 +85,7 @@
     organisations: Vec<Organisation>,
     /// Indices into `organisations` by API key; `None` if callers need no API key.
     keys: Option<HashMap<String, usize>>,
+    unusable_keys: HashSet<String>,
     limits: CallerLimits,
 }
 
@@ -115,6 +118,7 @@
             services,
             organisations: spec.organisations.unwrap_or_default(),
             keys,
+            unusable_keys: spec.unusable_keys,
             limits: spec.limits,
         })
     }
@@ -200,6 +204,12 @@
         self.organisations.get(index)
     }
 
+    /// Whether an API key belongs to an organisation that this system can't serve.
+    #[must_use]
+    pub fn is_unusable_key(&self, key: &str) -> bool {
+        self.unusable_keys.contains(key)
+    }
+
     /// Finds a service by name.
     #[must_use]
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
--- a/crates/catalog/src/current_catalog.rs
+++ b/crates/catalog/src/current_catalog.rs
@@ -31,6 +31,8 @@
     catalog: Option<Arc<Catalog>>,
     validity: Span,
     valid_until: Time,
+    /// Whether the store holds a newer catalog that this process can't use.
+    superseded: bool,
 }
 
 impl CurrentCatalog {
@@ -42,6 +44,7 @@
             catalog: None,
             validity,
             valid_until: Time::ZERO,
+            superseded: false,
         }
     }
 
@@ -56,12 +59,23 @@
             return ReplaceOutcome::Same;
         }
         self.catalog = Some(Arc::new(catalog));
+        self.superseded = false;
         ReplaceOutcome::Newer { previous }
     }
 
+    /// Ends the validity, as the store holds a newer catalog that this process can't use.
+    /// No confirmation extends it again until a newer catalog replaces this one.
+    pub const fn supersede(&mut self) {
+        self.superseded = true;
+        self.valid_until = Time::ZERO;
+    }
+
     /// Extends the validity after the store answered a request sent at
     /// `requested_at` with no newer version.
     pub fn confirm(&mut self, requested_at: Time) {
+        if self.superseded {
+            return;
+        }
         self.valid_until = self.valid_until.max(requested_at + self.validity);
     }
 
--- a/crates/catalog/tests/it/catalog_validity.rs
+++ b/crates/catalog/tests/it/catalog_validity.rs
@@ -32,3 +32,22 @@
     current.confirm(Time::ZERO);
     assert_eq!(current.valid_until(), Time::from_us(5_000_000));
 }
+
+/// Once the store holds a newer catalog that can't be used, no confirmation makes the
+/// current one valid again.
+#[test]
+fn superseded_catalog_stays_invalid() {
+    let mut current = CurrentCatalog::new(Span::from_s(4));
+    current.replace(catalog_version(5));
+    current.confirm(Time::from_us(1_000_000));
+    current.supersede();
+    assert!(current.valid_until().has_passed(Time::from_us(1_000_000)));
+    current.confirm(Time::from_us(2_000_000));
+    assert_eq!(current.replace(catalog_version(5)), ReplaceOutcome::Same);
+    assert_eq!(current.replace(catalog_version(4)), ReplaceOutcome::Older);
+    current.confirm(Time::from_us(3_000_000));
+    assert!(current.valid_until().has_passed(Time::from_us(3_000_000)));
+    current.replace(catalog_version(6));
+    current.confirm(Time::from_us(4_000_000));
+    assert_eq!(current.valid_until(), Time::from_us(8_000_000));
+}
--- a/crates/catalog/tests/it/fixtures.rs
+++ b/crates/catalog/tests/it/fixtures.rs
@@ -40,6 +40,7 @@
         version: ConfigVersion::new(version),
         routes,
         services: vec![service("a"), service("b")],
+        unusable_keys: std::collections::HashSet::new(),
         organisations: Some(vec![Organisation {
             id: "council".parse().unwrap(),
             keys: vec!["k1".into(), "k2".into()],
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -9,6 +9,8 @@
 
 /// Maximum length of an identifier, in bytes.
 const NAME_MAX_BYTES: usize = 128;
+/// Maximum length of a label, in bytes.
+const LABEL_MAX_BYTES: usize = 1_024;
 
 /// Error for a string that is not a valid identifier.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -22,6 +24,15 @@
         /// Length of the rejected string.
         len_bytes: usize,
     },
+    /// The string is a label longer than 1,024 bytes.
+    #[error("a label has at most {LABEL_MAX_BYTES} bytes, this one has {len_bytes}")]
+    LabelTooLong {
+        /// Length of the rejected string.
+        len_bytes: usize,
+    },
+    /// A label contains a control character, or begins or ends with white space.
+    #[error("a label holds no control characters, and no white space at its ends")]
+    Label,
     /// The string contains a character other than letters, digits and `-_.:`.
     #[error("an identifier holds letters, digits and -_.: only, not {found:?}")]
     Character {
@@ -36,7 +47,12 @@
     Parts,
 }
 
-fn check_name(text: &str) -> Result<(), ParseIdError> {
+/// Checks that a string is a plain identifier: 1 to 128 bytes of letters, digits and
+/// `-_.:`.
+///
+/// # Errors
+/// Returns the first violation.
+pub fn check_name(text: &str) -> Result<(), ParseIdError> {
     if text.is_empty() {
         return Err(ParseIdError::Empty);
     }
@@ -54,8 +70,25 @@
     }
 }
 
-macro_rules! name_id {
-    ($($(#[$doc:meta])* $name:ident;)+) => {$(
+/// Checks that a string is a label: 1 to 1,024 bytes that an HTTP header can hold as they
+/// are.
+fn check_label(text: &str) -> Result<(), ParseIdError> {
+    if text.is_empty() {
+        return Err(ParseIdError::Empty);
+    }
+    if text.len() > LABEL_MAX_BYTES {
+        return Err(ParseIdError::LabelTooLong {
+            len_bytes: text.len(),
+        });
+    }
+    if text.trim() != text || text.chars().any(char::is_control) {
+        return Err(ParseIdError::Label);
+    }
+    Ok(())
+}
+
+macro_rules! text_id {
+    ($check:ident: $($(#[$doc:meta])* $name:ident;)+) => {$(
         $(#[$doc])*
         #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(try_from = "String", into = "String")]
@@ -85,7 +118,7 @@
             type Err = ParseIdError;
 
             fn from_str(text: &str) -> Result<Self, Self::Err> {
-                check_name(text)?;
+                $check(text)?;
                 Ok(Self(Arc::from(text)))
             }
         }
@@ -106,29 +139,33 @@
     )+};
 }
 
-name_id! {
+text_id! { check_name:
     /// An adapter loaded on top of a model.
     AdapterId;
-    /// An endpoint: a model engine or a replica of a plain service.
-    EndpointId;
     /// An entry: a process that receives callers' requests.
     EntryId;
     /// A host.
     HostId;
     /// A model that endpoints serve.
     ModelId;
-    /// An organisation that sends requests.
-    OrganisationId;
     /// A preset in the configuration.
     PresetName;
     /// A process of the system: an entry or an endpoint's agent.
     ProcessId;
     /// A region, which contains availability zones.
     RegionId;
-    /// A service that endpoints provide to callers.
-    ServiceName;
     /// A version of a model's weights.
     VersionId;
+}
+
+// Names that operators and the platform choose freely.
+text_id! { check_label:
+    /// An endpoint: a model engine or a replica of a plain service.
+    EndpointId;
+    /// An organisation that sends requests.
+    OrganisationId;
+    /// A service that endpoints provide to callers.
+    ServiceName;
     /// An availability zone.
     ZoneId;
 }
@@ -265,9 +302,9 @@
     type Err = ParseIdError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let mut parts = text.split('~');
-        let (Some(endpoint), Some(boot), Some(number), None) =
-            (parts.next(), parts.next(), parts.next(), parts.next())
+        // The name of an endpoint may contain the separator.
+        let mut parts = text.rsplitn(3, '~');
+        let (Some(number), Some(boot), Some(endpoint)) = (parts.next(), parts.next(), parts.next())
         else {
             return Err(ParseIdError::Parts);
         };
--- /dev/null
+++ b/crates/core/tests/it/main.rs
@@ -0,0 +1,5 @@
+//! Integration tests of the shared types, one module per feature.
+
+#![allow(clippy::unwrap_used)]
+
+mod id_parsing;
--- a/crates/fleet/tests/it/fixtures.rs
+++ b/crates/fleet/tests/it/fixtures.rs
@@ -64,6 +64,7 @@
         routes: vec![route],
         services: vec![service("writers", Some(engine)), service("desk", None)],
         organisations: None,
+        unusable_keys: std::collections::HashSet::new(),
         limits: CallerLimits {
             head_max_bytes: ByteCount::new(1),
             body_max_bytes: ByteCount::new(1),
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -21,7 +21,8 @@
 use crate::poison::CrashReports;
 use crate::relayed_log::RelayDirectory;
 use crate::store_feed::{
-    ConfirmedChanges, EndpointChanges, OperatorChanges, StoreChanges, StoreError, StoreFeed,
+    ConfirmedChanges, EndpointChanges, OperatorChanges, ReadCatalog, StoreChanges, StoreError,
+    StoreFeed,
 };
 
 /// Capacity of the update queue to the thread that serves callers.
@@ -237,7 +238,7 @@
         else {
             continue;
         };
-        if let Some(catalog) = &changes.catalog {
+        if let Some(ReadCatalog::Usable(catalog)) = &changes.catalog {
             services.send_replace(Some(Arc::new(EngineServices::from_catalog(catalog))));
         }
         if outbox
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -30,6 +30,7 @@
 use crate::readiness::Readiness;
 use crate::response_buffers::ResponseBuffers;
 use crate::runs::Runs;
+use crate::store_feed::ReadCatalog;
 use crate::wait_queue::WaitQueue;
 
 /// `retry-after` of a refusal when no endpoint can take the request now.
@@ -263,8 +264,13 @@
                 confirmed_at,
                 changes,
             } => {
-                if let Some(catalog) = changes.catalog {
-                    self.activate_catalog(catalog);
+                match changes.catalog {
+                    Some(ReadCatalog::Usable(catalog)) => self.activate_catalog(*catalog),
+                    Some(ReadCatalog::Unusable) => {
+                        log::error!(version:% = self.version(); "callers with API keys are refused until a newer configuration can be read");
+                        self.active_config.borrow_mut().supersede();
+                    }
+                    None => {}
                 }
                 if let Some(zones) = changes.zones_out {
                     log::info!(zones:? = zones; "availability zones out of service changed");
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -38,7 +38,14 @@
         let organisation = if catalog.needs_keys() && !route.public {
             let key = inbound.api_key.as_deref().unwrap_or("");
             let found = catalog.organisation(key);
-            Some(found.ok_or_else(|| not_found(RefusalReason::Unauthorised))?)
+            let refusal = || {
+                if catalog.is_unusable_key(key) {
+                    config_unavailable()
+                } else {
+                    not_found(RefusalReason::Unauthorised)
+                }
+            };
+            Some(found.ok_or_else(refusal)?)
         } else {
             None
         };
--- a/crates/gateway/src/store_feed.rs
+++ b/crates/gateway/src/store_feed.rs
@@ -35,11 +35,20 @@
 #[derive(Debug, Default)]
 pub struct OperatorChanges {
     /// The configuration, if one was read.
-    pub catalog: Option<Catalog>,
+    pub catalog: Option<ReadCatalog>,
     /// All availability zones that are out of service, if the set changed.
     pub zones_out: Option<BTreeSet<ZoneId>>,
 }
 
+/// A configuration as read from the store.
+#[derive(Debug)]
+pub enum ReadCatalog {
+    /// It can be put in force.
+    Usable(Box<Catalog>),
+    /// It can't be understood or is inconsistent.
+    Unusable,
+}
+
 /// Changed endpoint entries.
 #[derive(Debug, Default)]
 pub struct EndpointChanges {
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -19,6 +19,7 @@
 mod fake_http;
 mod fake_store;
 mod forwarded_requests;
+mod free_names;
 mod gateway_harness;
 mod graceful_stop;
 mod keep_alive;
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -59,7 +59,8 @@
 }
 
 fn name<T: FromStr<Err = ParseIdError>>(field: &str, text: &str) -> Result<T, FieldProblem> {
-    text.parse()
+    lentil_core::check_name(text)
+        .and_then(|()| text.parse())
         .map_err(|error| (field.to_owned(), Problem::Name(error)))
 }
 
