A removed endpoint got requests after an outage of the store that it did not meet

Such an endpoint may end at any moment.

Cause: a gateway took each entry that vanished within 2.5 s of its last failure for one that had expired with the store, and kept the endpoint for 2.3 s more from when it noticed. It did not look at whether the entry can have expired.

Change: each entry carries the latest time known to be before it was written, the confirmation of the list before. One that was renewed within 2.5 intervals can't have expired, so its removal counts at once; this also covers gateways whose relay was turned away while they met no failure. Others are kept until 2.9 s after the last failed request was sent, whatever the time of the removal.

Why it works: the last failed request was sent before the outage ended, and a gateway is in touch again three seconds after the end, so no grace outlives that; within it, entries that did expire return after two seconds.

--- a/crates/feed/src/record.rs
+++ b/crates/feed/src/record.rs
@@ -37,6 +37,7 @@
     /// was appended before this time is in the page or was in an earlier one. `None` if
     /// more records follow, so that nothing is known about newer ones.
     pub confirmed_at: Option<Time>,
-    /// When the log last failed to answer a relay, if it did.
+    /// When a relay asked the log, the last time that it failed to answer; `None` if it
+    /// never did.
     pub log_failed_at: Option<Time>,
 }
--- a/crates/feed/src/topic_cache.rs
+++ b/crates/feed/src/topic_cache.rs
@@ -87,9 +87,9 @@
         Ok(())
     }
 
-    /// Records that the log did not answer.
-    pub fn record_log_failure(&mut self, now: Time) {
-        self.log_failed_at = Some(now);
+    /// Records that the log did not answer a request that was sent at this time.
+    pub fn record_log_failure(&mut self, asked_at: Time) {
+        self.log_failed_at = Some(asked_at);
     }
 
     fn add(&mut self, record: KeyedRecord, is_recent: bool) {
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -26,6 +26,9 @@
     pub cold_remaining: Span,
     /// Start time in Unix milliseconds, if reported; it changes with every restart.
     pub started_at_ms: Option<u64>,
+    /// The latest time that is known to be before the record was written; `None` if there
+    /// is none.
+    pub written_after: Option<Time>,
 }
 
 /// Whether an engine is serving or leaving.
@@ -73,8 +76,8 @@
 pub(crate) enum Availability {
     /// It gets new requests.
     Available,
-    /// Its record disappeared while the platform's store was failing. It counts as
-    /// available until this time and as leaving afterwards.
+    /// Its record disappeared and may have expired while the platform's store was failing.
+    /// It counts as available until this time and as leaving afterwards.
     Unlisted { until: Time },
     /// It gets no new requests and terminates at this time. Unless it `announced`
     /// this, only its record disappeared, and it becomes available again if the
@@ -122,6 +125,13 @@
         }
     }
 
+    /// Whether its record may have expired by now, as the endpoint did not renew it in
+    /// time.
+    pub(crate) fn may_have_expired(&self, now: Time, record_ttl: Span) -> bool {
+        let written_after = self.record.written_after;
+        written_after.is_none_or(|at| (at + record_ttl).has_passed(now))
+    }
+
     /// Number of entries that share a limit of this endpoint: those that follow it, if it
     /// reports them, or else all `entries`.
     pub(crate) fn sharing_entries(&self, now: Time, entries: u32) -> u32 {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -27,9 +27,11 @@
     /// Time from an endpoint's leave notice until it terminates, where the notice
     /// does not say.
     pub drain: Span,
-    /// How long an endpoint stays available after its record disappeared while the
-    /// store was failing.
-    pub expiry_grace: Span,
+    /// Time since its last renewal after which an endpoint's record may expire.
+    pub record_ttl: Span,
+    /// Time after the end of a store failure within which records that expired during it
+    /// are back, including the time until they are read.
+    pub record_return: Span,
 }
 
 /// A change of an endpoint's availability.
@@ -41,6 +43,13 @@
     Leaving(LeavingEndpoint),
     /// An endpoint restarted and lost its requests.
     Restarted(EndpointId),
+    /// An endpoint's record disappeared and may return. It still gets requests.
+    Unlisted {
+        /// The endpoint's id.
+        endpoint: EndpointId,
+        /// When it counts as leaving unless its record is back.
+        until: Time,
+    },
 }
 
 /// An endpoint that is leaving.
@@ -70,6 +79,8 @@
     /// empty.
     pub(crate) followed: BTreeSet<EndpointId>,
     entry_counter: EntryCounter,
+    /// When a request to the store was sent that failed, the last time.
+    store_failed_at: Option<Time>,
 }
 
 impl Fleet {
@@ -86,6 +97,7 @@
             next_placement_id: 0,
             followed: BTreeSet::new(),
             entry_counter: EntryCounter::default(),
+            store_failed_at: None,
         }
     }
 
@@ -173,7 +185,11 @@
         endpoint.cold_until = endpoint.cold_until.max(now + record.cold_remaining);
         endpoint.listed = true;
         let draining = record.draining;
-        endpoint.record = record;
+        let written_after = endpoint.record.written_after.max(record.written_after);
+        endpoint.record = EndpointRecord {
+            written_after,
+            ..record
+        };
         if draining {
             return self.begin_leaving(now, &id, None, true);
         }
@@ -192,34 +208,51 @@
         }
     }
 
-    /// Handles a record that was removed from the list. If the store failed
-    /// recently, the endpoint may be alive and its record may return.
-    pub fn remove_endpoint(
-        &mut self,
-        now: Time,
-        id: &EndpointId,
-        store_failed_recently: bool,
-    ) -> Option<FleetChange> {
+    /// Records that a request to the store failed that was sent at this time, and so
+    /// before the failure ended.
+    pub fn record_store_failure(&mut self, sent_at: Time) {
+        if self.store_failed_at >= Some(sent_at) {
+            return;
+        }
+        self.store_failed_at = Some(sent_at);
+        let returned_at = sent_at + self.config.record_return;
+        for endpoint in self.endpoints.values_mut() {
+            if let Availability::Unlisted { until } = &mut endpoint.availability {
+                *until = returned_at.max(*until);
+            }
+        }
+    }
+
+    /// When records that expired during the last failure of the store are back.
+    fn records_return_at(&self, now: Time) -> Option<Time> {
+        let returned_at = self.store_failed_at? + self.config.record_return;
+        (!returned_at.has_passed(now)).then_some(returned_at)
+    }
+
+    /// Handles a record that was removed from the list.
+    ///
+    /// A record also disappears if it is not renewed in time, which endpoints can't do
+    /// while the store fails. Such an endpoint is alive, and its record returns soon after
+    /// the failure. Any other removal means that the endpoint leaves.
+    pub fn remove_endpoint(&mut self, now: Time, id: &EndpointId) -> Option<FleetChange> {
+        let records_return_at = self.records_return_at(now);
         let endpoint = self.endpoints.get_mut(id)?;
         if !std::mem::take(&mut endpoint.listed) {
             return None;
         }
-        if store_failed_recently && endpoint.availability == Availability::Available {
-            endpoint.availability = Availability::Unlisted {
-                until: now + self.config.expiry_grace,
-            };
-            return None;
+        if let Some(until) = records_return_at
+            && endpoint.availability == Availability::Available
+            && endpoint.may_have_expired(now, self.config.record_ttl)
+        {
+            endpoint.availability = Availability::Unlisted { until };
+            let endpoint = id.clone();
+            return Some(FleetChange::Unlisted { endpoint, until });
         }
         self.begin_leaving(now, id, None, false)
     }
 
     /// Handles a complete list: removes all endpoints other than these.
-    pub fn retain_only(
-        &mut self,
-        now: Time,
-        ids: &BTreeSet<EndpointId>,
-        store_failed_recently: bool,
-    ) -> Vec<FleetChange> {
+    pub fn retain_only(&mut self, now: Time, ids: &BTreeSet<EndpointId>) -> Vec<FleetChange> {
         let missing: Vec<_> = self
             .endpoints
             .iter()
@@ -228,7 +261,7 @@
             .collect();
         missing
             .iter()
-            .filter_map(|id| self.remove_endpoint(now, id, store_failed_recently))
+            .filter_map(|id| self.remove_endpoint(now, id))
             .collect()
     }
 
--- a/crates/fleet/tests/it/fixtures.rs
+++ b/crates/fleet/tests/it/fixtures.rs
@@ -13,6 +13,8 @@
 };
 
 pub(crate) const MEMORY_TOKENS: u32 = 34_000;
+/// Time after a failure of the store within which expired records are back.
+pub(crate) const RECORD_RETURN_MS: u64 = 2_900;
 
 pub(crate) fn ms(ms: u64) -> Time {
     Time::ZERO + Span::from_ms(ms)
@@ -79,7 +81,8 @@
     let config = FleetConfig {
         cold_slack: 5.0,
         drain: Span::from_ms(2_000),
-        expiry_grace: Span::from_ms(2_300),
+        record_ttl: Span::from_ms(3_000),
+        record_return: Span::from_ms(RECORD_RETURN_MS),
     };
     let mut fleet = Fleet::new(config, "a".parse().unwrap());
     fleet.set_catalog(Arc::new(catalog()));
@@ -95,6 +98,7 @@
         draining: false,
         cold_remaining: Span::ZERO,
         started_at_ms: Some(u64::from(number)),
+        written_after: None,
     }
 }
 
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -21,7 +21,7 @@
 use crate::poison::CrashReports;
 use crate::relayed_log::RelayDirectory;
 use crate::store_feed::{
-    ConfirmedChanges, EndpointChanges, OperatorChanges, ReadCatalog, StoreChanges, StoreError,
+    ConfirmedChanges, EndpointChanges, FeedError, OperatorChanges, ReadCatalog, StoreChanges,
     StoreFeed,
 };
 
@@ -63,8 +63,8 @@
     CrashReports(CrashReports),
     /// The engines to follow and to place generations at.
     Followed(FollowedEngines),
-    /// The store failed to respond.
-    StoreFailed { at: Time },
+    /// The store failed to respond to a request that was sent at this time.
+    StoreFailed { asked_at: Time },
 }
 
 /// Data sources of the control thread, created on that thread.
@@ -180,19 +180,20 @@
         }
     }
 
-    async fn fail(&mut self, outbox: &BoundedSender<Update>, error: &StoreError) {
+    async fn fail(&mut self, outbox: &BoundedSender<Update>, error: &FeedError) {
         if !self.failing {
             log::warn!(part = self.name; "{error}");
         }
         self.failing = true;
-        self.report_store_failure(outbox, self.clock.now()).await;
+        self.report_store_failure(outbox, error.asked_at).await;
         tokio::time::sleep(self.retry_delay).await;
         self.retry_delay = (self.retry_delay * 2).min(RETRY_DELAY_MAX);
     }
 
-    async fn report_store_failure(&mut self, outbox: &BoundedSender<Update>, at: Time) {
-        self.store_failed_at = Some(at);
-        if outbox.send(Update::StoreFailed { at }).await.is_err() {
+    async fn report_store_failure(&mut self, outbox: &BoundedSender<Update>, asked_at: Time) {
+        self.store_failed_at = Some(asked_at);
+        let update = Update::StoreFailed { asked_at };
+        if outbox.send(update).await.is_err() {
             log::debug!("the update queue is closed");
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,9 +38,6 @@
 /// `retry-after` of a refusal when this gateway can't reach the store. It is
 /// shorter because another gateway may still reach it.
 pub(crate) const RETRY_AFTER_STORE_FAILURE: Span = Span::from_ms(200);
-/// How long after its last failure the store counts as unstable. Entries that
-/// expired during an outage reappear within two seconds of its end.
-const STORE_RECOVERY_WINDOW: Span = Span::from_ms(2_500);
 /// Share of the key revocation timeout, in percent, for which the active
 /// configuration is trusted after the store confirmed it. The rest is left for
 /// requests in flight.
@@ -106,7 +103,6 @@
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     pub(crate) poison: PoisonTracker,
     readiness: Cell<Readiness>,
-    store_failed_at: Cell<Option<Time>>,
     /// Engines whose observers all gateways follow.
     common_engines: RefCell<Vec<EndpointId>>,
     pub(crate) response_buffers: ResponseBuffers,
@@ -172,7 +168,6 @@
             budgets: RefCell::default(),
             poison: PoisonTracker::default(),
             readiness: Cell::default(),
-            store_failed_at: Cell::default(),
             common_engines: RefCell::default(),
             response_buffers: ResponseBuffers::default(),
         })
@@ -283,10 +278,6 @@
                 self.update_readiness(|readiness| readiness.config_trusted_until = trusted_until);
             }
             Update::Endpoints(update) => {
-                let store_unstable = self
-                    .store_failed_at
-                    .get()
-                    .is_some_and(|failed| !(failed + STORE_RECOVERY_WINDOW).has_passed(now));
                 let mut changes = Vec::new();
                 {
                     let mut fleet = self.fleet.borrow_mut();
@@ -299,10 +290,10 @@
                         changes.extend(fleet.upsert_endpoint(now, listing));
                     }
                     for id in &update.unlisted {
-                        changes.extend(fleet.remove_endpoint(now, id, store_unstable));
+                        changes.extend(fleet.remove_endpoint(now, id));
                     }
                     if update.is_snapshot {
-                        changes.extend(fleet.retain_only(now, &listed_ids, store_unstable));
+                        changes.extend(fleet.retain_only(now, &listed_ids));
                     }
                 }
                 self.handle_fleet_changes(changes);
@@ -325,7 +316,9 @@
                 added.retain(|observer| !known.contains(observer));
                 poison::notify_observers(&self.poison.reports(), added);
             }
-            Update::StoreFailed { at } => self.store_failed_at.set(Some(at)),
+            Update::StoreFailed { asked_at } => {
+                self.fleet.borrow_mut().record_store_failure(asked_at);
+            }
         }
         self.wake.notify_one();
     }
@@ -358,6 +351,10 @@
                 FleetChange::Restarted(endpoint) => {
                     log::info!(endpoint:% = endpoint; "endpoint restarted");
                 }
+                FleetChange::Unlisted { endpoint, until } => {
+                    let returns_in_ms = until.since(self.now()).as_ms();
+                    log::info!(endpoint:% = endpoint, returns_in_ms = returns_in_ms; "an endpoint's record is missing and may have expired");
+                }
                 FleetChange::Leaving(leaving) => {
                     let in_ms = leaving.terminates_at.since(self.now()).as_ms();
                     log::info!(
--- a/crates/gateway/src/log_relay.rs
+++ b/crates/gateway/src/log_relay.rs
@@ -100,6 +100,7 @@
                 LogTopic::Operators if from.is_some() && !failing => OPERATORS_WAIT,
                 LogTopic::Operators | LogTopic::Endpoints => Duration::ZERO,
             };
+            let asked_at = self.clock.now();
             let read = log.read(copy.topic, from, wait).await;
             let applied = read
                 .map_err(|error| error.to_string())
@@ -119,7 +120,7 @@
                     if !std::mem::replace(&mut failing, true) {
                         log::warn!(topic:? = copy.topic; "reading the store for gateways: {error}");
                     }
-                    copy.state().cache.record_log_failure(self.clock.now());
+                    copy.state().cache.record_log_failure(asked_at);
                     tokio::time::sleep(retry_delay).await;
                     retry_delay = (retry_delay * 2).min(RETRY_DELAY_MAX);
                 }
--- a/crates/gateway/src/store_feed.rs
+++ b/crates/gateway/src/store_feed.rs
@@ -31,6 +31,16 @@
     RelayFailed(String),
 }
 
+/// The next changes could not be read.
+#[derive(Debug, Error)]
+#[error("{source}")]
+pub struct FeedError {
+    /// When the store was asked. It had not recovered before.
+    pub asked_at: Time,
+    /// The cause.
+    pub source: StoreError,
+}
+
 /// Changes made by operators.
 #[derive(Debug, Default)]
 pub struct OperatorChanges {
@@ -67,7 +77,8 @@
     pub changes: StoreChanges,
     /// When the store was asked, at the latest; `None` if it has newer changes than these.
     pub confirmed_at: Option<Time>,
-    /// When the store last failed to answer the process that read it, if it did.
+    /// When the store was asked by the process that read it, the last time that it failed
+    /// to answer; `None` if it never did.
     pub store_failed_at: Option<Time>,
 }
 
@@ -88,7 +99,7 @@
     fn next_changes(
         &mut self,
         gateways: u32,
-    ) -> LocalFuture<'_, Result<ConfirmedChanges, StoreError>>;
+    ) -> LocalFuture<'_, Result<ConfirmedChanges, FeedError>>;
 }
 
 /// Reads topics of the platform's log.
--- a/crates/lentiltray/src/command/gateway.rs
+++ b/crates/lentiltray/src/command/gateway.rs
@@ -38,9 +38,14 @@
 const BALANCER_DRAIN_DELAY: Duration = Duration::from_millis(2_300);
 /// How long before the end of the grace period the process exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
-/// How long an entry that disappeared during a store disturbance may be missing
-/// before it counts as gone; the platform promises about two seconds.
-const ENTRY_EXPIRY_GRACE: Span = Span::from_ms(2_300);
+/// Time after the last failed request to the store within which records that expired are
+/// back: the platform promises about two seconds, and the topic is read every 0.7 s. Three
+/// seconds after the store served it again, a gateway must know each removal.
+const RECORD_RETURN: Span = Span::from_ms(2_900);
+/// Time since its last renewal after which a record may expire, in percent of the interval
+/// at which endpoints renew their records. The platform removes a record after three missed
+/// intervals, which are approximate.
+const RECORD_TTL_PERCENT: u64 = 250;
 
 /// Options of `lentiltray gateway`.
 #[derive(Debug, Clone)]
@@ -90,7 +95,8 @@
         fleet: FleetConfig {
             cold_slack: settings.cold_slack_per_s,
             drain: settings.drain,
-            expiry_grace: ENTRY_EXPIRY_GRACE,
+            record_ttl: Span::from_ms(settings.renewal.as_ms() / 100 * RECORD_TTL_PERCENT),
+            record_return: RECORD_RETURN,
         },
         budget: RetryBudgetConfig {
             ratio: settings.retry_ratio,
@@ -123,8 +129,8 @@
             Box::new(RelayedLog::new(store, Rc::clone(&relays), clock, sharing))
         };
         ControlSources {
-            operator_changes: Box::new(OperatorFeed::new(log())),
-            endpoint_changes: Box::new(EndpointFeed::new(log())),
+            operator_changes: Box::new(OperatorFeed::new(log(), clock)),
+            endpoint_changes: Box::new(EndpointFeed::new(log(), clock)),
             engine_client: Rc::new(HttpEndpointClient::new(pool, clock)),
             relays,
         }
--- a/crates/lentiltray/tests/it/lost_store.rs
+++ b/crates/lentiltray/tests/it/lost_store.rs
@@ -78,6 +78,75 @@
     assert_eq!(one.requests().len(), before);
 }
 
+/// Time for which a removed endpoint goes on serving.
+const DRAIN: Duration = Duration::from_millis(2_000);
+/// An outage in which a silent endpoint's record would expire.
+const LONG_OUTAGE: Duration = Duration::from_millis(4_000);
+
+/// Renews the entries of endpoints for a while.
+fn renew(site: &Site, endpoints: &[&Replica], period: Duration) {
+    let end = Instant::now() + period;
+    while Instant::now() < end {
+        for endpoint in endpoints {
+            site.register_endpoint(endpoint, "desk", "ready");
+        }
+        std::thread::sleep(Duration::from_millis(300));
+    }
+}
+
+/// Sends requests for a while, all of which must be served.
+fn serve_all(site: &Site, period: Duration) {
+    let end = Instant::now() + period;
+    while Instant::now() < end {
+        assert_eq!(site.call("/confirm/a", "r", "").unwrap().status, 200);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// The store turned this gateway away and served the endpoints meanwhile. One of them is
+/// removed without notice a second later; it got requests for longer than it goes on
+/// serving, as if its entry had expired with the store.
+#[test]
+fn removal_after_partial_outage() {
+    let (one, two) = (
+        Replica::start("i-1", respond_ok),
+        Replica::start("i-2", respond_ok),
+    );
+    let site = Site::start("removal_after", &[(&one, "desk"), (&two, "desk")]);
+    site.store.set_mode(StoreMode::Refusing(503));
+    renew(&site, &[&one, &two], LONG_OUTAGE);
+    site.store.set_mode(StoreMode::Serving);
+    renew(&site, &[&one, &two], Duration::from_millis(1_000));
+    site.store.put("keyed.servers", "i-1", None);
+    renew(&site, &[&two], DRAIN);
+    let sent = one.requests().len();
+    serve_all(&site, Duration::from_millis(1_000));
+    assert_eq!(one.requests().len(), sent);
+}
+
+/// All entries expired with the store. The endpoints get requests until they are back.
+#[test]
+fn expired_entries_return() {
+    let (one, two) = (
+        Replica::start("i-1", respond_ok),
+        Replica::start("i-2", respond_ok),
+    );
+    let endpoints = [(&one, "desk"), (&two, "desk")];
+    // Keys stay valid in the outage.
+    let site = Site::start_bounded("expired_return", &endpoints, 1, "revoke_ms: 60000");
+    site.store.set_mode(StoreMode::Refusing(503));
+    std::thread::sleep(LONG_OUTAGE);
+    for endpoint in ["i-1", "i-2"] {
+        site.store.put("keyed.servers", endpoint, None);
+    }
+    site.store.set_mode(StoreMode::Serving);
+    serve_all(&site, Duration::from_millis(1_200));
+    site.gateway
+        .wait_for_line("an endpoint's record is missing");
+    renew(&site, &[&one, &two], Duration::from_millis(300));
+    serve_all(&site, Duration::from_millis(2_000));
+}
+
 /// The first read of orders after an outage asks for an immediate answer. With a long
 /// poll, callers would be refused for longer than the outage lasted.
 #[test]
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -75,6 +75,8 @@
     pub retry_slack: f64,
     /// The window in which retries are counted.
     pub retry_window: Span,
+    /// The interval at which endpoints renew their records.
+    pub renewal: Span,
     /// Maximum time to wait for the link of an engine that would receive a copy.
     pub receiver_wait: Span,
     /// Time without a complete event after which a stream that has begun is ended.
@@ -200,6 +202,7 @@
             retry_ratio: non_negative("gateway.bounds.retry_ratio", bounds.retry_ratio)?,
             retry_slack: non_negative("gateway.bounds.retry_slack", bounds.retry_slack)?,
             retry_window: Span::from_ms(bounds.retry_window_ms),
+            renewal: Span::from_ms(bounds.renewal_ms),
             receiver_wait: Span::from_ms(bounds.receiver_wait_ms),
             stream_stall: millis(bounds.stream_stall_ms),
             direct_readers_max: bounds.direct_readers_max,
--- a/crates/settings/src/node/generated.rs
+++ b/crates/settings/src/node/generated.rs
@@ -21,6 +21,9 @@
     ///Maximum time to wait for the link of an engine that would receive a copy, before another engine is tried.
     #[serde(default = "defaults::default_u64::<u64, 25>")]
     pub receiver_wait_ms: u64,
+    ///The interval at which endpoints renew their records.
+    #[serde(default = "defaults::default_u64::<u64, 1200>")]
+    pub renewal_ms: u64,
     ///Retries allowed per request of a service, over all gateways.
     #[serde(default = "defaults::bound_settings_retry_ratio")]
     pub retry_ratio: f64,
@@ -49,6 +52,7 @@
             >(),
             grace_ms: defaults::default_u64::<u64, 8000>(),
             receiver_wait_ms: defaults::default_u64::<u64, 25>(),
+            renewal_ms: defaults::default_u64::<u64, 1200>(),
             retry_ratio: defaults::bound_settings_retry_ratio(),
             retry_slack: defaults::bound_settings_retry_slack(),
             retry_window_ms: defaults::default_u64::<u64, 10000>(),
