One odd record stopped entries and agents from following the host list

What callers would see: an entry that starts never becomes ready; one that runs goes on with its last list for good and sends new work to engines that leave.

Cause: the list was decoded as a whole, so one record of another writer with a port out of range, a number too large or very deep nesting failed every read. The error was dropped without a log line.

Evidence: odd_entries::entry_follows_host_list failed before the fix ("the entry never became ready").

Change: each record is decoded by itself, and one that can't be is skipped with its reason in the log. Reading the list logs when it begins to fail and when it works again. The fake host list can list such records.

--- a/crates/control/src/hosts.rs
+++ b/crates/control/src/hosts.rs
@@ -22,13 +22,24 @@
     let clock = Clock::start();
     let mut budget = ReadBudget::new(clock.now());
     let mut host_count = 0;
+    let mut failing = false;
     while !inputs.is_closed() {
         let whole_reads = list.full_read_count();
-        if let Ok(read) = list.hosts().await {
-            host_count = u64::try_from(read.len()).unwrap_or(u64::MAX);
-            let peers = read.iter().filter_map(peer).collect();
-            send_if_changed(&hosts, read);
-            let _ = inputs.try_send(Input::Event(SyncEvent::LiveProcesses(peers)));
+        match list.hosts().await {
+            Ok(read) => {
+                if std::mem::take(&mut failing) {
+                    log::info!("the host list can be read again");
+                }
+                host_count = u64::try_from(read.len()).unwrap_or(u64::MAX);
+                let peers = read.iter().filter_map(peer).collect();
+                send_if_changed(&hosts, read);
+                let _ = inputs.try_send(Input::Event(SyncEvent::LiveProcesses(peers)));
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!("reading the host list: {error}");
+                }
+            }
         }
         let now = clock.now();
         if list.full_read_count() > whole_reads {
--- a/crates/fakes/src/host_list.rs
+++ b/crates/fakes/src/host_list.rs
@@ -48,6 +48,8 @@
     pending: VecDeque<(Instant, HostRecord)>,
     visible: BTreeMap<String, (Instant, HostRecord)>,
     state_overrides: BTreeMap<String, HostState>,
+    /// Texts of records that no process has announced.
+    odd_records: Vec<String>,
     frozen: bool,
     full_reads: u64,
 }
@@ -63,6 +65,7 @@
             pending: VecDeque::new(),
             visible: BTreeMap::new(),
             state_overrides: BTreeMap::new(),
+            odd_records: Vec::new(),
             frozen: false,
             full_reads: 0,
         }));
@@ -94,6 +97,12 @@
             .insert(process.to_owned(), state);
     }
 
+    /// Lists a record as another writer may leave it. The text must not break the list
+    /// around it.
+    pub fn add_odd_record(&self, text: String) {
+        lock(&self.shared).odd_records.push(text);
+    }
+
     /// Closes all connections and refuses new ones.
     pub fn crash(&self) {
         self.server.crash();
@@ -161,9 +170,14 @@
 
 async fn list(hosts: State<Shared>, request: HttpRequest) -> HttpResponse {
     let reply = lock(&hosts).list();
-    let Ok(body) = serde_json::to_vec(&reply) else {
-        return HttpResponse::InternalServerError().finish();
-    };
+    let mut records = lock(&hosts).odd_records.clone();
+    for record in reply.hosts {
+        let Ok(text) = serde_json::to_string(&record) else {
+            return HttpResponse::InternalServerError().finish();
+        };
+        records.push(text);
+    }
+    let body = format!("{{\"hosts\":[{}]}}", records.join(",")).into_bytes();
     let tag = entity_tag(&body);
     let cached_tag = request.headers().get("if-none-match");
     if cached_tag.is_some_and(|cached_tag| cached_tag.as_bytes() == tag.as_bytes()) {
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -29,6 +29,7 @@
 mod moved_streams;
 mod named_limits;
 mod odd_answers;
+mod odd_entries;
 mod operations_pages;
 mod operator_changes;
 mod planned_stop;
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use lentil_core::{EndpointId, HostId, ModelId, RegionId, ServiceName, ZoneId};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::value::RawValue;
 
 /// One record of an [`AppendRequest`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -113,6 +114,20 @@
 /// Response to `GET /hosts`.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct HostsReply {
-    /// Processes that are live or leaving.
+    /// Processes that are live or leaving, without records that can't be decoded.
+    #[serde(deserialize_with = "decodable_records")]
     pub hosts: Vec<HostRecord>,
 }
+
+/// Decodes each record by itself: one that another writer left must not hide the others.
+fn decodable_records<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<HostRecord>, D::Error> {
+    let texts = Vec::<Box<RawValue>>::deserialize(deserializer)?;
+    let decode = |text: &Box<RawValue>| {
+        serde_json::from_str(text.get())
+            .inspect_err(|error| log::warn!("skipped a record of the host list: {error}"))
+            .ok()
+    };
+    Ok(texts.iter().filter_map(decode).collect())
+}
