--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -124,10 +124,10 @@
     deserializer: D,
 ) -> Result<Vec<HostRecord>, D::Error> {
     let texts = Vec::<Box<RawValue>>::deserialize(deserializer)?;
-    let decode = |text: &Box<RawValue>| {
+    let decode = |text: &RawValue| {
         serde_json::from_str(text.get())
             .inspect_err(|error| log::warn!("skipped a record of the host list: {error}"))
             .ok()
     };
-    Ok(texts.iter().filter_map(decode).collect())
+    Ok(texts.iter().filter_map(|text| decode(text)).collect())
 }
