A repeated refusal was taken for the answer to a later order to move a run

What callers would see: their stream breaks off in the middle although its engine had stopped the run in good order and kept its memory; a stream without length or chunks would end as complete.

Cause: orders to move a run went over kept connections, and their answers name no order. An earlier refusal that an engine writes once more, or a late second answer, was read as the answer to the next order, with the handle of another run or none.

--- a/crates/lentiltray/tests/it/moved_streams.rs
+++ b/crates/lentiltray/tests/it/moved_streams.rs
@@ -1,8 +1,8 @@
 //! Running generations are migrated away from an engine that is leaving.
 
-use std::net::Ipv4Addr;
-use std::sync::Arc;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use lentil_wire::v1;
@@ -30,6 +30,20 @@
     /// The other engine has no room at the first order that stops the run; later orders
     /// succeed.
     FirstStopRefused,
+    /// Like [`Self::FirstStopRefused`], and where the answer to the next order that stops
+    /// the run is expected on the same connection, the refusal comes once more.
+    RefusalRepeated,
+}
+
+/// What an engine has done with the orders to move its run.
+#[derive(Debug, Default)]
+struct MoveOrders {
+    /// Number of orders that stopped the run.
+    stops: AtomicU64,
+    /// The connection on which the engine wrote its refusal.
+    refused_on: Mutex<Option<SocketAddr>>,
+    /// Whether the run went on from the handle of the refusal.
+    refusal_used: AtomicBool,
 }
 
 /// Starts an engine that reports that it is leaving once `leaving` is set. It streams
@@ -47,16 +61,18 @@
     move_result: MoveResult,
 ) -> Replica {
     let leaving = Arc::clone(leaving);
-    let stops = Arc::new(AtomicU64::new(0));
+    let orders = Arc::new(MoveOrders::default());
     Replica::start_at(host, name, move |request, stream| {
         match (request.method.as_str(), request.target.as_str()) {
             ("GET", "/v1/report") => {
                 write_response(stream, &report(used_tokens, leaving.load(Ordering::SeqCst)))
             }
             ("POST", "/v1/kv-move") => {
-                write_response(stream, &handle_move_order(request, &stops, move_result))
+                let peer = stream.peer_addr().unwrap();
+                let response = handle_move_order(request, peer, &orders, move_result);
+                write_response(stream, &response)
             }
-            _ => generate(request, stream, &stops),
+            _ => generate(request, stream, &orders),
         }
     })
 }
@@ -64,7 +80,8 @@
 /// Returns the response to an order to move the run.
 fn handle_move_order(
     request: &Request,
-    previous_stops: &AtomicU64,
+    peer: SocketAddr,
+    orders: &MoveOrders,
     move_result: MoveResult,
 ) -> Vec<u8> {
     let order: Value = serde_json::from_slice(&request.body).unwrap();
@@ -73,11 +90,18 @@
         return response_with_length(404, "", b"{}");
     }
     let stops = order["last"] == true;
-    let first_stop = stops && previous_stops.fetch_add(1, Ordering::SeqCst) == 0;
-    if first_stop && move_result == MoveResult::FirstStopRefused {
-        return response_with_length(503, "", br#"{"handle":"h6"}"#);
+    let first_stop = stops && orders.stops.fetch_add(1, Ordering::SeqCst) == 0;
+    let refusal = response_with_length(503, "", br#"{"handle":"h6"}"#);
+    if first_stop && move_result != MoveResult::Copied {
+        *orders.refused_on.lock().unwrap() = Some(peer);
+        return refusal;
+    }
+    let answer = response_with_length(200, "", br#"{"handle":"h7","created":3}"#);
+    let is_kept = *orders.refused_on.lock().unwrap() == Some(peer);
+    if stops && is_kept && move_result == MoveResult::RefusalRepeated {
+        return [refusal, answer].concat();
     }
-    response_with_length(200, "", br#"{"handle":"h7","created":3}"#)
+    answer
 }
 
 fn report(used_tokens: u32, leaving: bool) -> Vec<u8> {
@@ -94,8 +118,16 @@
 fn generate(
     request: &Request,
     stream: &mut std::net::TcpStream,
-    stops: &AtomicU64,
+    orders: &MoveOrders,
 ) -> ConnectionAction {
+    let stops = &orders.stops;
+    let goes_on = request
+        .header("kv-from")
+        .is_some_and(|from| from.ends_with("/h6"));
+    if goes_on && orders.refusal_used.swap(true, Ordering::SeqCst) {
+        let headers = format!("{}Not-Executed: 1\r\n", signature_headers(request));
+        return write_response(stream, &response_with_length(503, &headers, b"used"));
+    }
     let stops_before = stops.load(Ordering::SeqCst);
     let first = request
         .header("last-event-id")
@@ -201,6 +233,15 @@
     );
 }
 
+/// An earlier refusal that comes once more on a kept connection is not taken for the
+/// answer to a later order: the run had stopped and was lost.
+#[test]
+fn repeated_refusal_of_move() {
+    let (response, _) = migrate_stream("refusal_repeated", MoveResult::RefusalRepeated);
+    assert_eq!(response.body, full_stream());
+    assert!(response.complete);
+}
+
 /// Number of link grants to request. Each lasts one second; together they outlast the
 /// notice of the leaving engine.
 const LINK_GRANTS: usize = 3;
