An agent delivered a repeated refusal to the next call; gateways are shown not to

What callers would see: 503 with another call's body for a confirmation that had run, kept under its key and given again to each repeat.

Cause: agents sent calls and generations over kept connections to their endpoint, whose answers name no call.

Evidence: stale_refusals::call_through_agent_is_not_refused failed before the fix: the refusal's body was delivered to the next call.

Change: each call and each generation has a connection of its own; load queries and cancellations share others.

Ruled out for gateways, with refusals of four kinds (503 and 429 with another id, 421, 503 without an id) in each framing (length, chunks, end of the connection), before the first and before the second answer of a connection, for requests of all four kinds. Two guards were taken out once each: without the check of the id, confirmation_is_not_refused and report_is_not_refused fail; with kept connections for single runs, single_runs_share_no_connection fails.

Result: stale_refusals 6 of 6, and 24 tests of agents and entries.

--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -60,9 +60,12 @@
     let method = Method::from_bytes(call.method.as_bytes())
         .map_err(|error| EngineError::Connect(error.to_string()))?;
     let url = format!("{}{}", endpoint.base_url, call.path);
+    // The answer does not name its call. On a kept connection it could be an earlier one,
+    // repeated or late.
     let mut request = endpoint
         .client
         .request(method, url)
+        .force_close()
         .header("traceparent", span.traceparent());
     for header in &call.headers {
         request = request.header(header.name.as_str(), header.value.as_slice());
--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -8,6 +8,7 @@
 use lentil_settings::{AgentSettings, EndpointKind};
 use lentil_shell::{BoundedReceiver, BoundedSender};
 use lentil_wire::v1;
+use ntex::client::error::ClientBuilderError;
 use ntex::client::{Client, Connector};
 use ntex::service::cfg::SharedCfg;
 use tokio::sync::{oneshot, watch};
@@ -55,6 +56,7 @@
 /// State of the endpoint thread.
 pub(crate) struct Endpoint {
     pub(crate) engine: Box<dyn Engine>,
+    /// Sends callers' requests, each on a connection of its own.
     pub(crate) client: Client,
     pub(crate) base_url: String,
     pub(crate) commands: BoundedSender<Command>,
@@ -100,22 +102,20 @@
     commands: BoundedSender<Command>,
     load: watch::Receiver<v1::LoadReport>,
 ) {
-    let client = Client::builder()
-        .connector::<()>(Connector::default().limit(CONNECTIONS_MAX))
-        .disable_timeout()
-        .disable_redirects()
-        .build(SharedCfg::new("ENDPOINT"))
-        .await;
-    let client = match client {
-        Ok(client) => client,
-        Err(error) => {
+    let (client, status_client) = match (build_client().await, build_client().await) {
+        (Ok(client), Ok(status_client)) => (client, status_client),
+        (Err(error), _) | (_, Err(error)) => {
             log::error!(endpoint:% = identity.endpoint; "creating the HTTP client failed: {error}");
             return;
         }
     };
     let base_url = settings.endpoint_url.trim_end_matches('/').to_owned();
     let endpoint = Rc::new(Endpoint {
-        engine: Box::new(HttpEngine::new(client.clone(), base_url.clone())),
+        engine: Box::new(HttpEngine::new(
+            client.clone(),
+            status_client,
+            base_url.clone(),
+        )),
         client,
         base_url,
         commands,
@@ -132,6 +132,15 @@
     }
 }
 
+async fn build_client() -> Result<Client, ClientBuilderError> {
+    Client::builder()
+        .connector::<()>(Connector::default().limit(CONNECTIONS_MAX))
+        .disable_timeout()
+        .disable_redirects()
+        .build(SharedCfg::new("ENDPOINT"))
+        .await
+}
+
 /// Polls the engine's load and reports it to the admission thread.
 async fn watch_load(endpoint: Rc<Endpoint>) {
     let mut failures = 0;
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -130,13 +130,20 @@
 
 /// An engine with an HTTP API.
 pub(crate) struct HttpEngine {
+    /// For generations, each on a connection of its own.
     client: Client,
+    /// For all other requests, which share connections.
+    status_client: Client,
     base_url: String,
 }
 
 impl HttpEngine {
-    pub(crate) fn new(client: Client, base_url: String) -> Self {
-        Self { client, base_url }
+    pub(crate) const fn new(client: Client, status_client: Client, base_url: String) -> Self {
+        Self {
+            client,
+            status_client,
+            base_url,
+        }
     }
 
     async fn stream(
@@ -157,6 +164,7 @@
         let response = self
             .client
             .post(format!("{}/v1/completions", self.base_url))
+            .force_close()
             .header("traceparent", request.traceparent.as_str())
             .send_json(&body)
             .await
@@ -200,7 +208,7 @@
     fn load<'a>(&'a self) -> LocalFuture<'a, Result<EngineLoad, EngineError>> {
         Box::pin(async move {
             let response = self
-                .client
+                .status_client
                 .get(format!("{}/load", self.base_url))
                 .timeout(LOAD_TIMEOUT)
                 .send()
@@ -222,7 +230,7 @@
     ) -> LocalFuture<'a, Result<(), EngineError>> {
         Box::pin(async move {
             let url = format!("{}/v1/streams/{generation}", self.base_url);
-            self.client
+            self.status_client
                 .delete(url)
                 .send()
                 .await
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -39,6 +39,7 @@
 mod service_crash;
 mod settings_check;
 mod shared_log;
+mod stale_refusals;
 mod stalled_streams;
 mod startup_code;
 mod stop_signals;
