A stream went on with the head of an error that its endpoint wrote into it

What callers would see: the status line and headers of an error, and at times its text, in the middle of a stream.

Cause: whatever ended with an empty line was passed on as an event. An endpoint that breaks off and writes an error where the next event is due sends no new response, so framing does not show it.

Change: a line of an event begins with the name of a field or is a comment. Anything else is treated as a stream that broke off: a route that may be resumed goes on at another endpoint, others end as incomplete. Events before it are still delivered.

Between entry and agent it can't occur: an agent decodes tokens and ends with a typed refusal, and a generation is not resumed at another engine.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -18,10 +18,16 @@
     pub bytes: Bytes,
 }
 
-/// An event is too long.
+/// The bytes of a stream are no events.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-#[error("an event has more than {EVENT_MAX_BYTES} bytes")]
-pub struct SplitError;
+pub enum SplitError {
+    /// An event is too long.
+    #[error("an event has more than {EVENT_MAX_BYTES} bytes")]
+    TooLong,
+    /// A line has no field, as where an endpoint writes an error into a stream.
+    #[error("a line of an event has no field")]
+    NoField,
+}
 
 /// Splits bytes into complete events. An incomplete event is never returned.
 #[derive(Debug, Default)]
@@ -40,22 +46,25 @@
     /// Returns the next complete event, if there is one.
     ///
     /// # Errors
-    /// The incomplete event is too long.
+    /// The incomplete event is too long, or the complete one has a line without a field.
+    /// Both are returned by each further call too.
     pub fn next_event(&mut self) -> Result<Option<Event>, SplitError> {
         let Some(end) = self.find_end() else {
             if self.buffer.len() > EVENT_MAX_BYTES {
-                return Err(SplitError);
+                return Err(SplitError::TooLong);
             }
             self.searched_bytes = self.buffer.len().saturating_sub(3);
             return Ok(None);
         };
+        if !lines(self.buffer.get(..end).unwrap_or_default()).all(has_field) {
+            return Err(SplitError::NoField);
+        }
         let bytes = self.buffer.split_to(end).freeze();
         self.searched_bytes = 0;
+        let has_data = lines(&bytes).any(|line| line.starts_with(b"data"));
         Ok(Some(Event {
             id: event_id(&bytes),
-            has_data: bytes
-                .split(|byte| *byte == b'\n')
-                .any(|line| line.starts_with(b"data")),
+            has_data,
             bytes,
         }))
     }
@@ -89,9 +98,23 @@
     }
 }
 
-fn event_id(event: &[u8]) -> Option<u64> {
+/// The lines of an event, without the empty one that ends it.
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
     event
         .split(|byte| *byte == b'\n')
+        .map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+        .filter(|line| !line.is_empty())
+}
+
+/// Whether a line is a comment, or begins with the name of a field.
+fn has_field(line: &[u8]) -> bool {
+    let is_name_byte = |byte: &u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_');
+    let name_bytes = line.iter().take_while(|byte| is_name_byte(byte)).count();
+    line.get(name_bytes) == Some(&b':') || line == b"data"
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    lines(event)
         .find_map(|line| line.strip_prefix(b"id:"))
         .and_then(|value| std::str::from_utf8(value).ok())
         .and_then(|value| value.trim().parse().ok())
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use crate::attempt::{Job, OpenedResponse, seconds};
 use crate::body::{BodyInterrupted, ChunkJoiner, ResponseBody};
 use crate::endpoints::{Attestation, KvCopy, Resume};
-use crate::events::EventSplitter;
+use crate::events::{EventSplitter, SplitError};
 use crate::gateway::{Gateway, Permit};
 use crate::poison::{self, AnswerProgress};
 use crate::request::GatewayResponse;
@@ -169,18 +169,21 @@
     /// Returns the next complete events, or `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, BodyInterrupted>> {
         loop {
-            match self.drain_events() {
+            let truncated = match self.drain_events() {
                 Ok(Some(bytes)) => return Some(Ok(bytes)),
-                Ok(None) => {}
-                Err(BodyInterrupted) => return Some(Err(self.fail("event too long"))),
-            }
-            let truncated = match self.next_bytes().await {
-                Some(Ok(bytes)) => {
-                    self.splitter.push(&bytes);
-                    continue;
+                Err(SplitError::TooLong) => return Some(Err(self.fail("event too long"))),
+                Err(SplitError::NoField) => {
+                    self.job.note("bytes that are no event".to_owned());
+                    true
                 }
-                Some(Err(BodyInterrupted)) => true,
-                None => self.splitter.has_partial_event() || !self.has_begun(),
+                Ok(None) => match self.next_bytes().await {
+                    Some(Ok(bytes)) => {
+                        self.splitter.push(&bytes);
+                        continue;
+                    }
+                    Some(Err(BodyInterrupted)) => true,
+                    None => self.splitter.has_partial_event() || !self.has_begun(),
+                },
             };
             match self.handle_body_end(truncated).await {
                 BodyEnd::Continued => {}
@@ -222,11 +225,17 @@
         BodyInterrupted
     }
 
-    /// Returns all complete events received so far, without duplicates.
-    fn drain_events(&mut self) -> Result<Option<Bytes>, BodyInterrupted> {
+    /// Returns all complete events received so far, without duplicates. Fails once those
+    /// before the failure have been returned.
+    fn drain_events(&mut self) -> Result<Option<Bytes>, SplitError> {
         let mut events = ChunkJoiner::default();
         let mut progressed = false;
-        while let Some(event) = self.splitter.next_event().map_err(|_| BodyInterrupted)? {
+        let ended = loop {
+            let event = match self.splitter.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break Ok(None),
+                Err(error) => break Err(error),
+            };
             if let (Some(id), Some(last)) = (event.id, self.last_event_id)
                 && id <= last
             {
@@ -238,12 +247,15 @@
                 progressed = true;
             }
             events.push(event.bytes);
-        }
+        };
         if progressed {
             self.record_progress();
         }
         let bytes = events.into_bytes();
-        Ok((!bytes.is_empty()).then_some(bytes))
+        if bytes.is_empty() {
+            return ended;
+        }
+        Ok(Some(bytes))
     }
 
     fn record_progress(&mut self) {
--- a/crates/gateway/tests/it/event_splitter.rs
+++ b/crates/gateway/tests/it/event_splitter.rs
@@ -1,6 +1,6 @@
 //! Splitting of a byte stream into events, for any division into chunks.
 
-use lentil_gateway::EventSplitter;
+use lentil_gateway::{EventSplitter, SplitError};
 use proptest::prelude::*;
 
 const STREAM: &str = "id: 0\ndata: a\n\nid:1\r\ndata: b\r\n\r\ndata: no number\n\n\
@@ -43,6 +43,39 @@
     assert!(splitter.next_event().is_err());
 }
 
+/// Whatever an endpoint writes in place of an event, nothing of it is returned.
+#[test]
+fn error_is_no_event() {
+    for text in [
+        "HTTP/1.1 500 X\r\nContent-Length: 6\r\n\r\noops\n\n",
+        "Internal Server Error\n\n",
+        "{\"error\":\"oops\"}\n\n",
+        "<html>\n\n",
+        "data: a\noops\n\n",
+    ] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(b"id: 0\ndata: a\n\n");
+        splitter.push(text.as_bytes());
+        assert_eq!(splitter.next_event().unwrap().unwrap().id, Some(0));
+        for _ in 0..2 {
+            assert_eq!(splitter.next_event(), Err(SplitError::NoField), "{text}");
+        }
+        splitter.clear();
+        assert_eq!(splitter.next_event(), Ok(None));
+    }
+    for text in [
+        ": comment\n\n",
+        ":\n\n",
+        "data\n\n",
+        "retry: 7\r\n\r\n",
+        "x-y_1: z\n\n",
+    ] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(text.as_bytes());
+        assert_eq!(splitter.next_event().unwrap().unwrap().bytes, text);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: proptest::test_runner::RngSeed::Fixed(lentil_scenario::seed()),
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -8,6 +8,7 @@
 )]
 
 mod bad_requests;
+mod broken_resumes;
 mod caller;
 mod config_backlog;
 mod daemon_process;
