--- a/crates/lentiltray/tests/it/broken_resumes.rs
+++ b/crates/lentiltray/tests/it/broken_resumes.rs
@@ -9,22 +9,11 @@
 
 use serde_json::json;
 
-use crate::fake_http::{ConnectionAction, Request, chunk, response_with_length};
+use crate::fake_http::{ConnectionAction, Framing, Request, response_with_length};
 use crate::gateway_harness::{
     Replica, Site, request_head, signature_headers, wait_until, write_response,
 };
 
-/// How the end of a response is marked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Framing {
-    Length,
-    Chunks,
-    /// By the end of the connection.
-    Neither,
-}
-
-const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Neither];
-
 /// Length that a stream states which breaks off before.
 const STATED_BYTES: usize = 5_000;
 
@@ -42,41 +31,19 @@
     (200, ""),
 ];
 
-fn response_head(status: u16, headers: &str, framing: Framing, length: usize) -> String {
-    let framing = match framing {
-        Framing::Length => format!("Content-Length: {length}\r\n"),
-        Framing::Chunks => "Transfer-Encoding: chunked\r\n".to_owned(),
-        Framing::Neither => String::new(),
-    };
-    format!("HTTP/1.1 {status} X\r\n{headers}{framing}\r\n")
-}
-
-fn body_part(framing: Framing, text: &str) -> Vec<u8> {
-    match framing {
-        Framing::Chunks => chunk(text),
-        Framing::Length | Framing::Neither => text.as_bytes().to_vec(),
-    }
-}
-
 /// Writes a complete error.
 fn write_error(request: &Request, stream: &mut TcpStream, framing: Framing, error: (u16, &str)) {
     let id = request.header("attempt-id").unwrap();
     let headers = format!("Attempt-Id: {id}\r\n{}", error.1);
-    let head = response_head(error.0, &headers, framing, ERROR_TEXT.len());
-    write_response(stream, head.as_bytes());
-    write_response(stream, &body_part(framing, ERROR_TEXT));
-    if framing == Framing::Chunks {
-        write_response(stream, b"0\r\n\r\n");
-    }
+    write_response(stream, &framing.response(error.0, &headers, ERROR_TEXT));
 }
 
 /// Writes the beginning of a stream.
 fn write_stream(request: &Request, stream: &mut TcpStream, framing: Framing, text: &str) {
     let headers = signature_headers(request);
-    let head = response_head(200, &headers, framing, STATED_BYTES);
-    write_response(stream, head.as_bytes());
+    write_response(stream, &framing.head(200, &headers, STATED_BYTES));
     if !text.is_empty() {
-        write_response(stream, &body_part(framing, text));
+        write_response(stream, &framing.part(text));
     }
     // The gateway forwards what it has before the end.
     std::thread::sleep(Duration::from_millis(50));
@@ -122,9 +89,9 @@
 fn for_each_case(check: impl Fn(Framing, Framing, (u16, &'static str), &str) + Sync) {
     let check = &check;
     std::thread::scope(|scope| {
-        for (stream_framing, error_framing) in FRAMINGS
+        for (stream_framing, error_framing) in Framing::ALL
             .into_iter()
-            .flat_map(|stream| FRAMINGS.map(|error| (stream, error)))
+            .flat_map(|stream| Framing::ALL.map(|error| (stream, error)))
         {
             scope.spawn(move || {
                 for (number, error) in ERRORS.into_iter().enumerate() {
@@ -272,7 +239,7 @@
 /// event is due. That is no event.
 #[test]
 fn error_inside_stream() {
-    for framing in FRAMINGS {
+    for framing in Framing::ALL {
         let engine = |name: &str| {
             Replica::start(name, move |request, stream| {
                 if request.target == "/v1/report" {
@@ -285,7 +252,7 @@
                 }
                 write_stream(request, stream, framing, "id: 0\ndata: a\n\n");
                 let error = "HTTP/1.1 500 X\r\nContent-Length: 6\r\n\r\noops\n\n";
-                write_response(stream, &body_part(framing, error));
+                write_response(stream, &framing.part(error));
                 ConnectionAction::Close
             })
         };
--- a/crates/lentiltray/tests/it/fake_http.rs
+++ b/crates/lentiltray/tests/it/fake_http.rs
@@ -185,6 +185,49 @@
     [head.as_bytes(), body].concat()
 }
 
+/// How the end of a response is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// By a `Content-Length` header.
+    Length,
+    Chunks,
+    /// By the end of the connection.
+    Neither,
+}
+
+impl Framing {
+    pub(crate) const ALL: [Self; 3] = [Self::Length, Self::Chunks, Self::Neither];
+
+    /// Encodes the head of a response. `length` is used only where the framing states it.
+    pub(crate) fn head(self, status: u16, headers: &str, length: usize) -> Vec<u8> {
+        let framing = match self {
+            Self::Length => format!("Content-Length: {length}\r\n"),
+            Self::Chunks => "Transfer-Encoding: chunked\r\n".to_owned(),
+            Self::Neither => String::new(),
+        };
+        format!("HTTP/1.1 {status} X\r\n{headers}{framing}\r\n").into_bytes()
+    }
+
+    /// Encodes a part of a body.
+    pub(crate) fn part(self, text: &str) -> Vec<u8> {
+        match self {
+            Self::Chunks => chunk(text),
+            Self::Length | Self::Neither => text.as_bytes().to_vec(),
+        }
+    }
+
+    /// Encodes a whole response.
+    pub(crate) fn response(self, status: u16, headers: &str, body: &str) -> Vec<u8> {
+        let end: &[u8] = if self == Self::Chunks {
+            b"0\r\n\r\n"
+        } else {
+            b""
+        };
+        let head = self.head(status, headers, body.len());
+        [head, self.part(body), end.to_vec()].concat()
+    }
+}
+
 /// Encodes one chunk of a chunked body.
 pub(crate) fn chunk(bytes: &str) -> Vec<u8> {
     format!("{:x}\r\n{bytes}\r\n", bytes.len()).into_bytes()
--- a/crates/lentiltray/tests/it/stale_refusals.rs
+++ b/crates/lentiltray/tests/it/stale_refusals.rs
@@ -11,23 +11,12 @@
 use serde_json::json;
 
 use crate::caller::{Caller, block_on};
-use crate::fake_http::{ConnectionAction, Request, Server, chunk, response_with_length};
+use crate::fake_http::{ConnectionAction, Framing, Request, Server, response_with_length};
 use crate::gateway_harness::{
     Replica, Site, request_head, respond_ok, signature_headers, write_response,
 };
 use crate::keyed_calls::confirm;
 
-/// How the end of a response is marked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Framing {
-    Length,
-    Chunks,
-    /// By the end of the connection.
-    Neither,
-}
-
-const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Neither];
-
 /// Refusals, by status and headers. Each says that the request has not run; one of them
 /// does not say which request.
 const REFUSALS: [(u16, &str); 4] = [
@@ -43,15 +32,7 @@
 const REQUESTS_MAX: usize = 40;
 
 fn refusal(framing: Framing, (status, headers): (u16, &str)) -> Vec<u8> {
-    let head = format!("HTTP/1.1 {status} X\r\n{headers}");
-    match framing {
-        Framing::Length => response_with_length(status, headers, b"full"),
-        Framing::Chunks => {
-            let head = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
-            [head.into_bytes(), chunk("full"), b"0\r\n\r\n".to_vec()].concat()
-        }
-        Framing::Neither => format!("{head}\r\nfull").into_bytes(),
-    }
+    framing.response(status, headers, "full")
 }
 
 /// Sends the right answer: for generations, a stream of one event.
@@ -105,7 +86,7 @@
 /// Sends requests on one connection until the faulty endpoint has written a refusal, and
 /// checks each status against the number of endpoints that ran the request.
 fn check(path: &str, service: &str, moment: Moment, is_right: impl Fn(u16, usize) -> bool) {
-    for framing in FRAMINGS {
+    for framing in Framing::ALL {
         for (number, kind) in REFUSALS.into_iter().enumerate() {
             let stale = StaleReplica::start(moment, framing, kind);
             let sound = Replica::start("i-2", answer);
