planned_stop waits until the gateway is paused

The answers are right; the test took it that the signal acts at once.

Change: the test waits until each thread of the gateway is stopped before it sends anything. What it checks is unchanged, and now always applies to requests that arrive in the pause.

--- a/crates/lentiltray/tests/it/daemon_process.rs
+++ b/crates/lentiltray/tests/it/daemon_process.rs
@@ -108,6 +108,15 @@
         signal(&self.child, name);
     }
 
+    /// Returns whether all threads of the process are stopped by a signal.
+    pub(crate) fn is_paused(&self) -> bool {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        threads
+            .filter_map(|thread| std::fs::read_to_string(thread.unwrap().path().join("stat")).ok())
+            // The state follows the name, which is in parentheses.
+            .all(|stat| stat.rsplit_once(") ").unwrap().1.starts_with('T'))
+    }
+
     /// Returns whether the process has an io_uring file descriptor open.
     pub(crate) fn holds_io_uring(&self) -> bool {
         let descriptors = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap();
--- a/crates/lentiltray/tests/it/planned_stop.rs
+++ b/crates/lentiltray/tests/it/planned_stop.rs
@@ -24,6 +24,9 @@
     site.gateway.terminate();
     site.gateway.wait_for_line("gateway is stopping");
     site.gateway.signal("-STOP");
+    // On a busy host the signal takes effect later, and a gateway that reads requests before
+    // it can't answer them in their time after the pause.
+    wait_until("the gateway is paused", || site.gateway.is_paused());
 }
 
 fn resume(site: &Site) {
