Log by what an endpoint is known to leave, and what it asks for with a refusal

What callers saw: requests went to an endpoint that had said that it leaves or wants rest.

Cause: not established yet.

Nothing acts on them yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,6 @@
 pub use priority::{ParsePriorityError, Priority};
 pub use time::{Span, Time};
 pub use unit::{
-    Blocks, ByteCount, ParseRequestRateError, ParseUnitError, Permille, RequestRate, TokenCount,
-    TokensPerSecond, Weight,
+    Blocks, ByteCount, ParseRequestRateError, ParseRetryAfterError, ParseUnitError, Permille,
+    RequestRate, RetryAfter, TokenCount, TokensPerSecond, Weight,
 };
--- a/crates/core/src/unit.rs
+++ b/crates/core/src/unit.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::Span;
+
 /// Error for a string that is not a quantity.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 #[error("invalid quantity: expected a whole number, optionally followed by its unit")]
@@ -145,3 +147,52 @@
         valid.then_some(Self(per_s)).ok_or(ParseRequestRateError)
     }
 }
+
+/// How long an endpoint wants no further requests, as it states in `Retry-After`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RetryAfter(Span);
+
+impl RetryAfter {
+    /// The longest time that is honoured. An endpoint that states a longer one, or any
+    /// number by mistake, is tried again after this time.
+    pub const MAX: Self = Self(Span::from_s(30 * 60));
+
+    /// The time as a span.
+    #[must_use]
+    pub const fn span(self) -> Span {
+        self.0
+    }
+}
+
+impl fmt::Display for RetryAfter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ms = self.0.as_ms();
+        write!(f, "{}.{:03} s", ms / 1_000, ms % 1_000)
+    }
+}
+
+/// Error for a string that is not a `Retry-After` time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("Retry-After is a number of seconds, not negative")]
+pub struct ParseRetryAfterError;
+
+impl FromStr for RetryAfter {
+    type Err = ParseRetryAfterError;
+
+    /// Parses seconds, which may have a fraction. A longer time than [`Self::MAX`] is
+    /// limited to it.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number = text.strip_suffix(" s").unwrap_or(text);
+        let s: f64 = number.trim().parse().map_err(|_| ParseRetryAfterError)?;
+        if s.is_nan() || s < 0.0 {
+            return Err(ParseRetryAfterError);
+        }
+        let stated = Self(Span::from_ms(saturating_u64((s * 1_000.0).ceil())));
+        Ok(stated.min(Self::MAX))
+    }
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn saturating_u64(number: f64) -> u64 {
+    number as u64
+}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The table of endpoints.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -52,6 +53,38 @@
     },
 }
 
+/// How it is known that an endpoint is leaving.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LeaveEvidence {
+    /// Its record in the list says so.
+    Record,
+    /// Its record was removed from the list, or did not return.
+    Removal,
+    /// Its report says so.
+    Report,
+    /// Another endpoint has its address.
+    AddressReused,
+}
+
+impl LeaveEvidence {
+    /// Whether the endpoint does not become available again in this lifetime. A record may
+    /// also be removed from an endpoint that goes on serving.
+    const fn is_final(self) -> bool {
+        !matches!(self, Self::Removal)
+    }
+}
+
+impl fmt::Display for LeaveEvidence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Record => "its record",
+            Self::Removal => "the removal of its record",
+            Self::Report => "its report",
+            Self::AddressReused => "another endpoint at its address",
+        })
+    }
+}
+
 /// An endpoint that is leaving.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LeavingEndpoint {
@@ -63,6 +96,8 @@
     pub zone: ZoneId,
     /// When it is expected to terminate.
     pub terminates_at: Time,
+    /// How this became known.
+    pub evidence: LeaveEvidence,
 }
 
 /// All endpoints, with their state as estimated by one entry.
@@ -158,7 +193,7 @@
 
     /// Marks an endpoint that is no longer at its address as leaving immediately.
     pub fn mark_gone(&mut self, now: Time, id: &EndpointId) -> Option<FleetChange> {
-        self.begin_leaving(now, id, Some(now), true)
+        self.begin_leaving(now, id, Some(now), LeaveEvidence::AddressReused)
     }
 
     fn apply_record(&mut self, now: Time, record: EndpointRecord) -> Option<FleetChange> {
@@ -168,7 +203,7 @@
             self.endpoints
                 .insert(id.clone(), Endpoint::new(now, record));
             return if draining {
-                self.begin_leaving(now, &id, None, true)
+                self.begin_leaving(now, &id, None, LeaveEvidence::Record)
             } else {
                 Some(FleetChange::Joined(id))
             };
@@ -178,7 +213,7 @@
             *endpoint = Endpoint::new(now, record);
             self.drop_in_flight(&id);
             if draining {
-                return self.begin_leaving(now, &id, None, true);
+                return self.begin_leaving(now, &id, None, LeaveEvidence::Record);
             }
             return Some(FleetChange::Restarted(id));
         }
@@ -191,7 +226,7 @@
             ..record
         };
         if draining {
-            return self.begin_leaving(now, &id, None, true);
+            return self.begin_leaving(now, &id, None, LeaveEvidence::Record);
         }
         match endpoint.availability {
             Availability::Unlisted { .. } => {
@@ -248,7 +283,7 @@
             let endpoint = id.clone();
             return Some(FleetChange::Unlisted { endpoint, until });
         }
-        self.begin_leaving(now, id, None, false)
+        self.begin_leaving(now, id, None, LeaveEvidence::Removal)
     }
 
     /// Handles a complete list: removes all endpoints other than these.
@@ -283,7 +318,7 @@
         let id = id.clone();
         match stage {
             EngineStage::Serving => None,
-            EngineStage::Leaving { at } => self.begin_leaving(now, &id, at, true),
+            EngineStage::Leaving { at } => self.begin_leaving(now, &id, at, LeaveEvidence::Report),
         }
     }
 
@@ -335,7 +370,7 @@
         now: Time,
         id: &EndpointId,
         at: Option<Time>,
-        announces: bool,
+        evidence: LeaveEvidence,
     ) -> Option<FleetChange> {
         let drain = self.config.drain;
         let endpoint = self.endpoints.get_mut(id)?;
@@ -345,7 +380,7 @@
             announced,
         } = &mut endpoint.availability
         {
-            *announced |= announces;
+            *announced |= evidence.is_final();
             if let Some(at) = at {
                 *known = at;
             }
@@ -353,13 +388,14 @@
         }
         endpoint.availability = Availability::Leaving {
             terminates_at,
-            announced: announces,
+            announced: evidence.is_final(),
         };
         Some(FleetChange::Leaving(LeavingEndpoint {
             endpoint: id.clone(),
             address: endpoint.record.address,
             zone: endpoint.record.zone.clone(),
             terminates_at,
+            evidence,
         }))
     }
 
@@ -395,7 +431,7 @@
             .collect();
         let changes = expired
             .iter()
-            .filter_map(|id| self.begin_leaving(now, id, None, false))
+            .filter_map(|id| self.begin_leaving(now, id, None, LeaveEvidence::Removal))
             .collect();
         let busy: BTreeSet<_> = self
             .in_flight
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use endpoint::{EndpointRecord, EngineReport, EngineStage};
 pub use entry_count::EntryCounter;
-pub use fleet::{Fleet, FleetChange, FleetConfig, LeavingEndpoint};
+pub use fleet::{Fleet, FleetChange, FleetConfig, LeaveEvidence, LeavingEndpoint};
 pub use followed::FollowedEngines;
 pub use in_flight::{AttemptResult, PlacementId};
 pub use named_limit::{LimitChange, LimitNotice, LimitedCapacity};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -306,6 +306,7 @@
             Ok(reply) => {
                 self.record_endpoint_state(endpoint, &reply);
                 self.record_named_limit(job, endpoint, sent_at, &reply);
+                log_notices(job, endpoint, &reply);
                 self.classify_reply(job, permit, reply, took_ms)
             }
             Err(SendError::NotSent(reason)) => {
@@ -520,6 +521,16 @@
     }
 }
 
+/// Logs what an endpoint says about requests that it does not want.
+fn log_notices(job: &Job, endpoint: &EndpointId, reply: &Reply) {
+    if reply.is_leaving {
+        log::info!(endpoint:% = endpoint, request:% = job.request.id; "an answer says that the endpoint leaves");
+    }
+    if let Some(retry_after) = reply.retry_after {
+        log::info!(endpoint:% = endpoint, request:% = job.request.id, retry_after:% = retry_after; "endpoint asked for no requests");
+    }
+}
+
 /// Returns whether an endpoint responded without a server error.
 fn is_served(response: &Result<GatewayResponse, Refusal>) -> bool {
     matches!(response, Ok(GatewayResponse::Endpoint { status, .. }) if !status.is_server_error())
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -7,7 +7,7 @@
 use futures_util::stream::LocalBoxStream;
 use http::{HeaderMap, StatusCode};
 use lentil_catalog::PriorityLevel;
-use lentil_core::{EndpointId, OrganisationId, RequestRate, Span, Time};
+use lentil_core::{EndpointId, OrganisationId, RequestRate, RetryAfter, Span, Time};
 use lentil_fleet::EngineReport;
 use thiserror::Error;
 
@@ -83,6 +83,11 @@
     /// The rate of requests that the endpoint accepts from all callers together, if it
     /// names one.
     pub rate_limit: Option<RequestRate>,
+    /// Whether the endpoint says that it is leaving.
+    pub is_leaving: bool,
+    /// How long the endpoint wants no requests from this gateway, if it turned the request
+    /// away and says so.
+    pub retry_after: Option<RetryAfter>,
     /// The body. Dropping it cancels the request.
     pub body: LocalBoxStream<'static, Result<Bytes, BodyInterrupted>>,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -364,6 +364,7 @@
                     let in_ms = leaving.terminates_at.since(self.now()).as_ms();
                     log::info!(
                         endpoint:% = leaving.endpoint,
+                        known_by:% = leaving.evidence,
                         gone_in_ms = in_ms,
                         runs = self.runs.on_endpoint(&leaving.endpoint).len();
                         "endpoint leaves"
