Add failing tests of endpoints that say in their answers that they leave

The tests trigger it without the store's help: successes, failures and refusals, calls and streams, each framing, with the store away, and with a list that contradicts.

--- a/crates/lentiltray/tests/it/gateway_harness.rs
+++ b/crates/lentiltray/tests/it/gateway_harness.rs
@@ -20,6 +20,9 @@
 /// and short compared to the notice of a leaving engine.
 const RECEIVER_WAIT_MS: u64 = 400;
 
+/// Number of requests that are sent at the same time to reach an endpoint.
+const BURST: usize = 16;
+
 /// A fake endpoint that records its requests.
 pub(crate) struct Replica {
     pub(crate) name: String,
@@ -105,6 +108,15 @@
     )
 }
 
+/// Returns the service of a route that the configuration sends to engines or to `desk`.
+pub(crate) fn service_of(target: &str) -> &'static str {
+    if target.starts_with("/report/") || target.starts_with("/note/") {
+        "writers"
+    } else {
+        "desk"
+    }
+}
+
 /// Builds the configuration that all tests use.
 pub(crate) fn config(version: u64) -> Value {
     let route = |prefix: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
@@ -238,6 +250,25 @@
         ClientConnection::open(self.gateway.address("callers"))
     }
 
+    /// Sends requests until one has reached an endpoint, and waits for their responses. They
+    /// are sent in bursts, so that each endpoint gets some whatever the gateway prefers.
+    pub(crate) fn send_until_reached(&self, target: &str, endpoint: &Replica) {
+        let before = endpoint.requests().len();
+        let mut number = 0;
+        wait_until("a request reaches the endpoint", || {
+            let mut connections: Vec<_> = (0..BURST).map(|_| self.connect()).collect();
+            for connection in &mut connections {
+                number += 1;
+                let head = request_head(target, &format!("first{number}"), "");
+                connection.send(&head, "hello");
+            }
+            for connection in &mut connections {
+                connection.receive();
+            }
+            endpoint.requests().len() > before
+        });
+    }
+
     /// Sends one request on a new connection.
     pub(crate) fn call(
         &self,
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -26,6 +26,7 @@
 mod keep_alive;
 mod keyed_calls;
 mod killed_executor;
+mod leaving_answers;
 mod lost_store;
 mod moved_streams;
 mod named_limits;
