An endpoint that says in its answers that it leaves gets no more requests

What callers saw: requests were sent to an endpoint for nine seconds after its notice; some failed with it (DRAIN).

Cause: a gateway learned of a leaving endpoint from the store's list, from observers' reports and from 421 only. What the endpoint itself says in each of its answers was passed on and not acted on, so that a gateway without the store went on sending. Class: evidence at first hand that is not read.

Evidence: the six tests of leaving_answers trigger it with a list that is ready, away or contradicts.

Change: each answer that bears the id of its request and says Server-Leaving: 1 marks the endpoint as leaving for this lifetime, in one place for first attempts, retries, hedged look-ups and moved streams (heads of moved streams were not looked at before, for load, cold time and limits neither). All placements go through the endpoint table, so requests that wait are covered. Runs move off as after any notice. A 421 says nothing of the endpoint that was asked.

Why it works: the notice is final for the lifetime, whatever a list entry, a report or a relay says later; only a new start time ends it. It isn't told to other gateways: the rule binds the one that passed the answer on, and a faulty endpoint's word reaches no further than its traffic.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -62,6 +62,8 @@
     Removal,
     /// Its report says so.
     Report,
+    /// An answer of it says so.
+    Answer,
     /// Another endpoint has its address.
     AddressReused,
 }
@@ -80,6 +82,7 @@
             Self::Record => "its record",
             Self::Removal => "the removal of its record",
             Self::Report => "its report",
+            Self::Answer => "its answer",
             Self::AddressReused => "another endpoint at its address",
         })
     }
@@ -322,6 +325,12 @@
         }
     }
 
+    /// Records that an endpoint said with an answer that it is leaving. It may terminate
+    /// sooner than the drain time from now, as it has left since an unknown time.
+    pub fn record_leaving(&mut self, now: Time, id: &EndpointId) -> Option<FleetChange> {
+        self.begin_leaving(now, id, None, LeaveEvidence::Answer)
+    }
+
     /// Records the load (running, waiting, slots) that an endpoint reported with an
     /// answer.
     pub fn record_load(&mut self, now: Time, id: &EndpointId, load: (u32, u32, u32)) {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -289,7 +289,12 @@
     }
 
     /// Sends a request to one endpoint and evaluates the response.
-    async fn send_once(&self, job: &Job, permit: &Permit, resume: Option<Resume>) -> SendOutcome {
+    async fn send_once(
+        self: &Rc<Self>,
+        job: &Job,
+        permit: &Permit,
+        resume: Option<Resume>,
+    ) -> SendOutcome {
         let endpoint = &permit.place.endpoint;
         job.exclude(endpoint.clone());
         job.record_send();
@@ -304,9 +309,7 @@
         let took_ms = self.now().since(sent_at).as_ms();
         match response {
             Ok(reply) => {
-                self.record_endpoint_state(endpoint, &reply);
-                self.record_named_limit(job, endpoint, sent_at, &reply);
-                log_notices(job, endpoint, &reply);
+                self.record_reply(job, endpoint, sent_at, &reply);
                 self.classify_reply(job, permit, reply, took_ms)
             }
             Err(SendError::NotSent(reason)) => {
@@ -408,7 +411,33 @@
     }
 
     /// Updates the endpoint table with what a response says about its endpoint.
-    pub(crate) fn record_endpoint_state(&self, endpoint: &EndpointId, reply: &Reply) {
+    pub(crate) fn record_reply(
+        self: &Rc<Self>,
+        job: &Job,
+        endpoint: &EndpointId,
+        sent_at: Time,
+        reply: &Reply,
+    ) {
+        self.record_endpoint_state(endpoint, reply);
+        self.record_named_limit(job, endpoint, sent_at, reply);
+        self.record_leaving(job, endpoint, reply);
+        log_notices(job, endpoint, reply);
+    }
+
+    /// Stops sending to an endpoint that says that it is leaving.
+    fn record_leaving(self: &Rc<Self>, job: &Job, endpoint: &EndpointId, reply: &Reply) {
+        // The endpoint that has taken over the address speaks for itself.
+        if !reply.is_leaving || reply.attestation == Attestation::OtherEndpoint {
+            return;
+        }
+        let change = self.fleet.borrow_mut().record_leaving(self.now(), endpoint);
+        if change.is_some() {
+            log::info!(endpoint:% = endpoint, request:% = job.request.id; "an answer says that the endpoint leaves");
+        }
+        self.handle_fleet_changes(change);
+    }
+
+    fn record_endpoint_state(&self, endpoint: &EndpointId, reply: &Reply) {
         let now = self.now();
         let mut fleet = self.fleet.borrow_mut();
         if let Some(load) = reply.load {
@@ -523,9 +552,6 @@
 
 /// Logs what an endpoint says about requests that it does not want.
 fn log_notices(job: &Job, endpoint: &EndpointId, reply: &Reply) {
-    if reply.is_leaving {
-        log::info!(endpoint:% = endpoint, request:% = job.request.id; "an answer says that the endpoint leaves");
-    }
     if let Some(retry_after) = reply.retry_after {
         log::info!(endpoint:% = endpoint, request:% = job.request.id, retry_after:% = retry_after; "endpoint asked for no requests");
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -347,7 +347,10 @@
         self.metrics.catalog_version.set(number);
     }
 
-    fn handle_fleet_changes(self: &Rc<Self>, changes: impl IntoIterator<Item = FleetChange>) {
+    pub(crate) fn handle_fleet_changes(
+        self: &Rc<Self>,
+        changes: impl IntoIterator<Item = FleetChange>,
+    ) {
         for change in changes {
             match change {
                 FleetChange::Joined(endpoint) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -334,7 +334,13 @@
         let permit = other.as_ref().unwrap_or(&self.permit);
         let call = self.gateway.build_call(&self.job, permit, Some(resume));
         let endpoint = permit.place.endpoint.clone();
-        match self.gateway.endpoint_client.send(call).await {
+        let sent_at = self.gateway.now();
+        let response = self.gateway.endpoint_client.send(call).await;
+        if let Ok(reply) = &response {
+            self.gateway
+                .record_reply(&self.job, &endpoint, sent_at, reply);
+        }
+        match response {
             Ok(reply) if reply.status.is_success() && reply.attestation == Attestation::Ran => {
                 self.job.note(format!(
                     "continues at {endpoint} after event {}",
