A late record brought back an endpoint that had said that it leaves

What callers saw: nothing yet on a deployment; found while looking for the same cause on related paths. One request after its record was written late reached an endpoint that had left.

Cause: an endpoint whose record was removed is forgotten once it has terminated, and with it the notice. A record of the same lifetime that is written late, or read late from another relay, was taken for a new endpoint.

Why it works: a start time identifies the lifetime; a restart has a later one.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -8,6 +8,7 @@
 use lentil_catalog::Catalog;
 use lentil_core::{EndpointId, ServiceName, Span, Time, TokenCount, ZoneId};
 
+use crate::departed::Departed;
 use crate::endpoint::{
     Availability, Endpoint, EndpointRecord, EngineReport, EngineStage, ReportedLoad,
 };
@@ -117,6 +118,7 @@
     /// empty.
     pub(crate) followed: BTreeSet<EndpointId>,
     entry_counter: EntryCounter,
+    departed: Departed,
     /// When a request to the store was sent that failed, the last time.
     store_failed_at: Option<Time>,
 }
@@ -135,6 +137,7 @@
             next_placement_id: 0,
             followed: BTreeSet::new(),
             entry_counter: EntryCounter::default(),
+            departed: Departed::default(),
             store_failed_at: None,
         }
     }
@@ -171,6 +174,11 @@
     /// If two records have the same address, it belongs to the endpoint that
     /// started later; the other endpoint's record has not expired yet.
     pub fn upsert_endpoint(&mut self, now: Time, record: EndpointRecord) -> Vec<FleetChange> {
+        let started_at_ms = record.started_at_ms;
+        let is_known = self.endpoints.contains_key(&record.endpoint);
+        if !is_known && self.departed.contains(now, &record.endpoint, started_at_ms) {
+            return Vec::new();
+        }
         let conflicting: Vec<_> = self
             .endpoints
             .iter()
@@ -447,12 +455,20 @@
             .values()
             .map(|request| request.endpoint.clone())
             .collect();
+        let departed = &mut self.departed;
         self.endpoints.retain(|id, endpoint| {
-            let terminated = matches!(
-                endpoint.availability,
-                Availability::Leaving { terminates_at, .. } if terminates_at.has_passed(now)
-            );
-            endpoint.listed || !terminated || busy.contains(id)
+            let (terminated, announced) = match endpoint.availability {
+                Availability::Leaving {
+                    terminates_at,
+                    announced,
+                } => (terminates_at.has_passed(now), announced),
+                Availability::Available | Availability::Unlisted { .. } => (false, false),
+            };
+            let keep = endpoint.listed || !terminated || busy.contains(id);
+            if !keep && announced {
+                departed.add(now, id.clone(), endpoint.record.started_at_ms);
+            }
+            keep
         });
         changes
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 //! This crate has no clock and no I/O; callers pass in the current time.
 
 mod cold_window;
+mod departed;
 mod endpoint;
 mod entry_count;
 mod fleet;
