A record of an earlier lifetime ended the notice of the present one

What callers saw: nothing yet on a deployment; found while looking for the same cause on related paths.

Cause: any start time other than the known one counted as a restart. A record of an earlier lifetime under the same name, written late, made an endpoint that had said that it leaves available again, and a late notice of the earlier lifetime took the present one out.

Change: records of an earlier lifetime are skipped.

Why it works: start times of one name only grow.

--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -141,12 +141,21 @@
             .map_or(entries, |(_, report)| report.followers)
     }
 
-    /// Whether a start time shows that the endpoint has restarted since its record
-    /// was read; `false` if either start time is unknown.
-    pub(crate) const fn is_restart(&self, started_at_ms: Option<u64>) -> bool {
+    /// Whether a start time is of another lifetime than the endpoint's record; `false` if
+    /// either start time is unknown.
+    pub(crate) const fn is_other_lifetime(&self, started_at_ms: Option<u64>) -> bool {
         match (self.record.started_at_ms, started_at_ms) {
             (Some(known), Some(reported)) => known != reported,
             _ => false,
         }
     }
+
+    /// Whether a start time is of an earlier lifetime than the endpoint's record, as in a
+    /// record that was written late.
+    pub(crate) const fn is_earlier_lifetime(&self, started_at_ms: Option<u64>) -> bool {
+        match (self.record.started_at_ms, started_at_ms) {
+            (Some(known), Some(reported)) => reported < known,
+            _ => false,
+        }
+    }
 }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -219,7 +219,12 @@
                 Some(FleetChange::Joined(id))
             };
         };
-        if endpoint.is_restart(record.started_at_ms) || endpoint.record.address != record.address {
+        if endpoint.is_earlier_lifetime(record.started_at_ms) {
+            return None;
+        }
+        if endpoint.is_other_lifetime(record.started_at_ms)
+            || endpoint.record.address != record.address
+        {
             let draining = record.draining;
             *endpoint = Endpoint::new(now, record);
             self.drop_in_flight(&id);
@@ -323,7 +328,7 @@
             .endpoints
             .iter_mut()
             .filter(|(_, endpoint)| endpoint.record.address == address)
-            .find(|(_, endpoint)| !endpoint.is_restart(report.started_at_ms))?;
+            .find(|(_, endpoint)| !endpoint.is_other_lifetime(report.started_at_ms))?;
         let stage = report.stage;
         endpoint.report = Some((now, report));
         let id = id.clone();
--- a/crates/fleet/tests/it/missing_records.rs
+++ b/crates/fleet/tests/it/missing_records.rs
@@ -257,3 +257,60 @@
     fleet.set_excluded_zones(BTreeSet::new());
     assert!(accepts_request(&mut fleet, ms(20)));
 }
+
+fn announce_leave(fleet: &mut Fleet, now: Time) {
+    let mut leaving = report(0, 0, 1);
+    leaving.stage = EngineStage::Leaving { at: None };
+    fleet.apply_report(now, record(1).address, leaving);
+}
+
+/// A record that is written late does not bring back an endpoint that has left; that of its
+/// next lifetime does.
+#[test]
+fn late_record_after_departure() {
+    for (started_at_ms, late_ms, returns) in [
+        (Some(1), 3_000, false),
+        (Some(1), 3_600_000, false),
+        (Some(0), 3_000, false),
+        (Some(2), 3_000, true),
+        (None, 3_000, false),
+        (None, 40_000, true),
+    ] {
+        let mut fleet = fleet();
+        fleet.upsert_endpoint(ms(0), record(1));
+        announce_leave(&mut fleet, ms(10));
+        fleet.remove_endpoint(ms(100), &id(1));
+        fleet.tick(ms(2_100));
+        let late = EndpointRecord {
+            started_at_ms,
+            ..record(1)
+        };
+        fleet.upsert_endpoint(ms(late_ms), late);
+        let available = fleet.is_available(ms(late_ms), &id(1));
+        assert_eq!(available, returns, "{started_at_ms:?} after {late_ms} ms");
+    }
+}
+
+/// A record of an earlier lifetime that is written late says nothing about this one.
+#[test]
+fn record_of_earlier_lifetime() {
+    let mut fleet = fleet();
+    let started_at = |started_at_ms| EndpointRecord {
+        started_at_ms: Some(started_at_ms),
+        ..record(1)
+    };
+    fleet.upsert_endpoint(ms(0), started_at(7));
+    announce_leave(&mut fleet, ms(10));
+    assert_eq!(fleet.upsert_endpoint(ms(20), started_at(6)), []);
+    assert!(!fleet.is_available(ms(20), &id(1)));
+    assert_eq!(
+        fleet.upsert_endpoint(ms(30), started_at(8)),
+        [FleetChange::Restarted(id(1))]
+    );
+    let draining = EndpointRecord {
+        draining: true,
+        ..started_at(7)
+    };
+    assert_eq!(fleet.upsert_endpoint(ms(40), draining), []);
+    assert!(fleet.is_available(ms(40), &id(1)));
+}
