A notice in the store was dropped if a newer record was read with it

A gateway that catches up after an outage kept only the newest record of each endpoint. Where the notice was followed in the same read by the entry's removal, the removal counted as an entry that expired with the store, and the endpoint got requests for 2.9 s more; where an older entry had been written late, for good. Relays leave such records out too.

Change: records of the endpoints' topic are applied one by one in their order, by gateways and by relays. The operators' topic keeps only the newest, as configurations are large and whole. Records older than one read before are still skipped.

Why it works: a notice is final for its lifetime in the endpoint table, so it has only to get there.

--- a/crates/feed/src/record.rs
+++ b/crates/feed/src/record.rs
@@ -12,6 +12,15 @@
     Endpoints,
 }
 
+impl LogTopic {
+    /// Whether readers need every record of a key in order. An endpoint's notice that it
+    /// leaves holds although its entry is removed afterwards.
+    #[must_use]
+    pub const fn needs_history(self) -> bool {
+        matches!(self, Self::Endpoints)
+    }
+}
+
 /// A record of a topic with keyed records.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeyedRecord {
--- a/crates/feed/src/topic_cache.rs
+++ b/crates/feed/src/topic_cache.rs
@@ -6,7 +6,7 @@
 use lentil_core::{Offset, Time};
 use thiserror::Error;
 
-use crate::{KeyedRecord, RecordPage};
+use crate::{KeyedRecord, LogTopic, RecordPage};
 
 /// Number of recent records that are kept to answer readers that are not far behind.
 /// Readers that are further behind get the newest record of each key.
@@ -46,9 +46,19 @@
     next: Option<Offset>,
     confirmed_at: Time,
     log_failed_at: Option<Time>,
+    has_history: bool,
 }
 
 impl TopicCache {
+    /// Creates an empty copy of a topic.
+    #[must_use]
+    pub fn new(topic: LogTopic) -> Self {
+        Self {
+            has_history: topic.needs_history(),
+            ..Self::default()
+        }
+    }
+
     /// The offset to read from next; `None` before the first page.
     #[must_use]
     pub const fn next(&self) -> Option<Offset> {
@@ -118,8 +128,9 @@
         }
     }
 
-    /// Returns the records from an offset on, without those that a newer one replaces,
-    /// or the newest record of each key if there is no offset or it is too far behind.
+    /// Returns the records from an offset on, without those that a newer one replaces
+    /// unless readers need them, or the newest record of each key if there is no offset or
+    /// it is too far behind.
     ///
     /// # Errors
     /// The copy is empty or behind the reader.
@@ -144,6 +155,9 @@
 
     fn recent_since(&self, from: Offset) -> Vec<KeyedRecord> {
         let since = || self.recent.iter().filter(|record| record.offset >= from);
+        if self.has_history {
+            return since().cloned().collect();
+        }
         let newest: HashMap<&str, Offset> = since()
             .map(|record| (record.key.as_str(), record.offset))
             .collect();
--- a/crates/feed/tests/it/topic_copy.rs
+++ b/crates/feed/tests/it/topic_copy.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use lentil_core::{Offset, Time};
-use lentil_feed::{CacheError, KeyedRecord, RecordPage, TopicCache};
+use lentil_feed::{CacheError, KeyedRecord, LogTopic, RecordPage, TopicCache};
 use proptest::prelude::*;
 
 fn record(offset: u64, key: u8, value: Option<u8>) -> KeyedRecord {
@@ -198,3 +198,17 @@
     let ahead = cache.read(Some(Offset::new(9)));
     assert!(matches!(ahead, Err(CacheError::Behind { .. })), "{ahead:?}");
 }
+
+/// A reader of endpoints' entries gets a notice although the entry was removed since.
+#[test]
+fn notice_before_removal() {
+    let mut cache = TopicCache::new(LogTopic::Endpoints);
+    let records = vec![
+        record(4, 1, Some(1)),
+        record(5, 1, Some(2)),
+        record(6, 1, None),
+    ];
+    cache.apply(page(records.clone(), 7, false)).unwrap();
+    let read = cache.read(Some(Offset::new(5))).unwrap();
+    assert_eq!(read.records, records[1..]);
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -21,8 +21,8 @@
 use crate::poison::CrashReports;
 use crate::relayed_log::RelayDirectory;
 use crate::store_feed::{
-    ConfirmedChanges, EndpointChanges, FeedError, OperatorChanges, ReadCatalog, StoreChanges,
-    StoreFeed,
+    ConfirmedChanges, EndpointChange, EndpointChanges, FeedError, OperatorChanges, ReadCatalog,
+    StoreChanges, StoreFeed,
 };
 
 /// Capacity of the update queue to the thread that serves callers.
@@ -286,17 +286,21 @@
         if changes.is_snapshot {
             listed.clear();
         }
-        for listing in &changes.listed {
-            let listed_engine = ListedEndpoint {
-                service: listing.service.clone(),
-                address: listing.address,
-                zone: listing.zone.clone(),
-                draining: listing.draining,
-            };
-            listed.insert(listing.endpoint.clone(), listed_engine);
-        }
-        for id in &changes.unlisted {
-            listed.remove(id);
+        for change in &changes.changes {
+            match change {
+                EndpointChange::Listed(listing) => {
+                    let listed_engine = ListedEndpoint {
+                        service: listing.service.clone(),
+                        address: listing.address,
+                        zone: listing.zone.clone(),
+                        draining: listing.draining,
+                    };
+                    listed.insert(listing.endpoint.clone(), listed_engine);
+                }
+                EndpointChange::Unlisted(id) => {
+                    listed.remove(id);
+                }
+            }
         }
         if outbox.send(Update::Endpoints(changes)).await.is_err() {
             return;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! The gateway's state, and how requests are placed on endpoints.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -30,7 +30,7 @@
 use crate::readiness::Readiness;
 use crate::response_buffers::ResponseBuffers;
 use crate::runs::Runs;
-use crate::store_feed::ReadCatalog;
+use crate::store_feed::{EndpointChange, ReadCatalog};
 use crate::wait_queue::WaitQueue;
 
 /// `retry-after` of a refusal when no endpoint can take the request now.
@@ -286,16 +286,17 @@
                 let mut changes = Vec::new();
                 {
                     let mut fleet = self.fleet.borrow_mut();
-                    let listed_ids = update
-                        .listed
-                        .iter()
-                        .map(|listing| listing.endpoint.clone())
-                        .collect();
-                    for listing in update.listed {
-                        changes.extend(fleet.upsert_endpoint(now, listing));
-                    }
-                    for id in &update.unlisted {
-                        changes.extend(fleet.remove_endpoint(now, id));
+                    let mut listed_ids = BTreeSet::new();
+                    for change in update.changes {
+                        match change {
+                            EndpointChange::Listed(record) => {
+                                listed_ids.insert(record.endpoint.clone());
+                                changes.extend(fleet.upsert_endpoint(now, record));
+                            }
+                            EndpointChange::Unlisted(id) => {
+                                changes.extend(fleet.remove_endpoint(now, &id));
+                            }
+                        }
                     }
                     if update.is_snapshot {
                         changes.extend(fleet.retain_only(now, &listed_ids));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -58,8 +58,8 @@
 pub use request::{GatewayResponse, Generation, InboundRequest, RequestId};
 pub use shutdown::ShutdownStage;
 pub use store_feed::{
-    ConfirmedChanges, EndpointChanges, FeedError, OperatorChanges, ReadCatalog, RecordLog,
-    StoreChanges, StoreError, StoreFeed,
+    ConfirmedChanges, EndpointChange, EndpointChanges, FeedError, OperatorChanges, ReadCatalog,
+    RecordLog, StoreChanges, StoreError, StoreFeed,
 };
 
 /// A boxed future that is not `Send`.
--- a/crates/gateway/src/log_relay.rs
+++ b/crates/gateway/src/log_relay.rs
@@ -41,7 +41,6 @@
     reads: watch::Sender<u64>,
 }
 
-#[derive(Default)]
 struct CopyState {
     cache: TopicCache,
     wanted_until: Time,
@@ -51,7 +50,10 @@
     fn new(topic: LogTopic) -> Arc<Self> {
         Arc::new(Self {
             topic,
-            state: Mutex::default(),
+            state: Mutex::new(CopyState {
+                cache: TopicCache::new(topic),
+                wanted_until: Time::ZERO,
+            }),
             demand: Notify::new(),
             reads: watch::Sender::new(0),
         })
--- a/crates/gateway/src/store_feed.rs
+++ b/crates/gateway/src/store_feed.rs
@@ -59,14 +59,21 @@
     Unusable,
 }
 
+/// A change of one endpoint's entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum EndpointChange {
+    /// It was added or updated.
+    Listed(EndpointRecord),
+    /// It was removed.
+    Unlisted(EndpointId),
+}
+
 /// Changed endpoint entries.
 #[derive(Debug, Default)]
 pub struct EndpointChanges {
-    /// Entries that were added or updated.
-    pub listed: Vec<EndpointRecord>,
-    /// Endpoints whose entries were removed.
-    pub unlisted: Vec<EndpointId>,
-    /// Whether `listed` contains all existing entries.
+    /// The changes in their order. An entry may change several times.
+    pub changes: Vec<EndpointChange>,
+    /// Whether the changes hold all existing entries.
     pub is_snapshot: bool,
 }
 
--- a/crates/lentiltray/tests/it/lost_store.rs
+++ b/crates/lentiltray/tests/it/lost_store.rs
@@ -185,3 +185,43 @@
     });
     assert_eq!(site.store.order_wait_ms()[before], 0);
 }
+
+/// An endpoint says that it leaves while the store is away for the gateway, and its entry is
+/// removed, or an older one is written late, before the gateway reads again.
+fn check_notice_during_outage(test: &str, later: impl FnOnce(&Site, &Replica)) {
+    let (one, two, three) = (
+        Replica::start("i-1", respond_ok),
+        Replica::start("i-2", respond_ok),
+        Replica::start("i-3", respond_ok),
+    );
+    let endpoints = [(&one, "desk"), (&two, "desk")];
+    let site = Site::start_bounded(test, &endpoints, 1, "revoke_ms: 60000");
+    site.store.set_mode(StoreMode::Refusing(503));
+    while site.gateway.wait_for_line("the store refused")["kvs"]["part"] != "endpoints" {}
+    std::thread::sleep(LONG_OUTAGE);
+    site.register_endpoint(&one, "desk", "draining");
+    later(&site, &one);
+    site.register_endpoint(&three, "desk", "ready");
+    site.store.set_mode(StoreMode::Serving);
+    while site.gateway.wait_for_line("endpoint joined")["kvs"]["endpoint"] != "i-3" {}
+    let sent = one.requests().len();
+    for number in 0..40 {
+        let id = format!("r{number}");
+        assert_eq!(site.call("/confirm/a", &id, "").unwrap().status, 200);
+    }
+    assert_eq!(one.requests().len(), sent);
+}
+
+#[test]
+fn notice_before_removal() {
+    check_notice_during_outage("notice_removal", |site, _| {
+        site.store.put("keyed.servers", "i-1", None);
+    });
+}
+
+#[test]
+fn notice_before_late_entry() {
+    check_notice_during_outage("notice_late", |site, endpoint| {
+        site.register_endpoint(endpoint, "desk", "ready");
+    });
+}
