Add failing tests of endpoints that ask for rest with Retry-After

What callers saw: an endpoint that had asked a gateway for rest got more requests from it than allowed in that time (BUDGET), which makes its overload last.

--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -15,6 +15,7 @@
 mod dropped_idle;
 mod end_to_end;
 mod endless_answers;
+mod endpoint_rest;
 mod engine_crash;
 mod engine_orders;
 mod fake_http;
