An endpoint that asks for rest gets no requests for that time

Cause: the Retry-After of an endpoint's 503 was not read; placement goes by load, failures and named limits.

Change: the time is kept as a deadline per endpoint, in the endpoint table that all placements go through: first attempts, retries, hedges, receivers of moved runs, waiting requests. The longest deadline holds; a restart ends it. Afterwards each gateway sends its first request at a moment of its own, one at a time, and one more with each answer. Requests that were under way arrive within the connect timeout of 200 ms. A stream whose memory was already moved there may continue, once; further ones are run anew where their route allows it. A service of which every endpoint wants nothing refuses at once what can't wait, with the earliest end plus a jitter as Retry-After. Values that are no time are ignored, longer ones than half an hour limited.

Why it works: there is one place that decides, and the strictest reason holds.

--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -8,6 +8,7 @@
 use crate::fleet::REPORT_TTL;
 use crate::health::Health;
 use crate::named_limit::NamedLimit;
+use crate::rest::Rest;
 
 /// An endpoint's record in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -99,6 +100,7 @@
     pub(crate) report: Option<(Time, EngineReport)>,
     pub(crate) reported_load: Option<ReportedLoad>,
     pub(crate) named_limit: Option<NamedLimit>,
+    pub(crate) rest: Option<Rest>,
 }
 
 impl Endpoint {
@@ -113,6 +115,7 @@
             report: None,
             reported_load: None,
             named_limit: None,
+            rest: None,
         }
     }
 
@@ -132,6 +135,13 @@
         written_after.is_none_or(|at| (at + record_ttl).has_passed(now))
     }
 
+    /// When it may get a request, if it named a limit or asked for rest: the later of both.
+    pub(crate) fn limited_until(&self, now: Time) -> Option<Time> {
+        let rest = self.rest.filter(|rest| !rest.until.has_passed(now));
+        let limit = self.named_limit.map(|limit| limit.next_at);
+        limit.max(rest.map(|rest| rest.until))
+    }
+
     /// Number of entries that share a limit of this endpoint: those that follow it, if it
     /// reports them, or else all `entries`.
     pub(crate) fn sharing_entries(&self, now: Time, entries: u32) -> u32 {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -15,6 +15,7 @@
 use crate::entry_count::EntryCounter;
 use crate::in_flight::{AttemptResult, InFlightRequest, PlacementId};
 use crate::named_limit::{LimitChange, LimitNotice, NamedLimit};
+use crate::rest::{Rest, RestNotice};
 
 /// How long an engine's report is used.
 pub(crate) const REPORT_TTL: Span = Span::from_ms(1_500);
@@ -378,6 +379,38 @@
         NamedLimit::apply(&mut endpoint.named_limit, now, notice, sharing)
     }
 
+    /// Records that an endpoint wants no requests for a while.
+    pub fn record_rest(&mut self, now: Time, id: &EndpointId, notice: RestNotice) {
+        let entries = self.entry_count(now);
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            let sending = endpoint.sharing_entries(now, entries);
+            Rest::apply(&mut endpoint.rest, now, notice, sending);
+        }
+    }
+
+    /// Records an answer, to a request sent at this time, by which the endpoint does not ask
+    /// for rest.
+    pub fn record_answer(&mut self, id: &EndpointId, sent_at: Time) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            Rest::record_answer(&mut endpoint.rest, sent_at);
+        }
+    }
+
+    /// Whether a stream may continue at an endpoint that it was placed at before, and counts
+    /// it if the endpoint wants no requests.
+    pub fn allow_continuation(&mut self, now: Time, id: &EndpointId) -> bool {
+        let endpoint = self.endpoints.get_mut(id);
+        let rest = endpoint.and_then(|endpoint| endpoint.rest.as_mut());
+        rest.is_none_or(|rest| rest.allow_continuation(now))
+    }
+
+    /// Number of endpoints that want no requests now.
+    #[must_use]
+    pub fn resting_endpoints(&self, now: Time) -> usize {
+        let rests = self.endpoints.values().filter_map(|endpoint| endpoint.rest);
+        rests.filter(|rest| !rest.until.has_passed(now)).count()
+    }
+
     /// Number of endpoints that name a limit.
     #[must_use]
     pub fn limited_endpoints(&self) -> usize {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 mod in_flight;
 mod named_limit;
 mod placement;
+mod rest;
 mod retry_budget;
 mod scheduling;
 
@@ -33,4 +34,5 @@
 pub use in_flight::{AttemptResult, PlacementId};
 pub use named_limit::{LimitChange, LimitNotice, LimitedCapacity};
 pub use placement::{GenerationSize, PlacedRequest, Placement, PlacementRequest, ZonePreference};
+pub use rest::RestNotice;
 pub use retry_budget::{RetryBudget, RetryBudgetConfig};
--- a/crates/fleet/src/named_limit.rs
+++ b/crates/fleet/src/named_limit.rs
@@ -43,12 +43,13 @@
     pub phase_seed: u64,
 }
 
-/// What this entry may send to a service of which every endpoint names a limit.
+/// What this entry may send to a service of which every endpoint names a limit or wants
+/// no requests for a while.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LimitedCapacity {
     /// When the next request may be sent.
     pub next_at: Time,
-    /// Mean time between further requests.
+    /// Mean time between further requests; zero if nothing is known about them.
     pub interval: Span,
 }
 
@@ -101,7 +102,8 @@
     span_of_s(1.0 / share_per_s)
 }
 
-/// The mean time between requests at several endpoints.
+/// The mean time between requests at several endpoints; zero for an endpoint without a
+/// limit.
 pub(crate) fn combined_interval(intervals: impl Iterator<Item = Span>) -> Span {
     let rate_per_us: f64 = intervals
         .map(|interval| 1.0 / to_f64(interval.as_us().max(1)))
@@ -110,7 +112,7 @@
 }
 
 /// A random part of a span.
-fn fraction(span: Span, seed: u64) -> Span {
+pub(crate) fn fraction(span: Span, seed: u64) -> Span {
     // The finalizer of MurmurHash3, as seeds may differ in a few bits only.
     let mixed = (seed ^ (seed >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     let mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -78,7 +78,7 @@
     }
 
     /// What this entry may send for a request if every endpoint that it could be placed at
-    /// names a limit; `None` if one does not.
+    /// names a limit or wants no requests for a while; `None` if one does neither.
     #[must_use]
     pub fn limited_capacity(
         &self,
@@ -93,8 +93,10 @@
             .filter_map(|id| self.endpoints.get(id))
             .map(|endpoint| {
                 let sharing = endpoint.sharing_entries(now, entries);
-                let limit = endpoint.named_limit?;
-                Some((limit.next_at, send_interval(limit.rate, sharing)))
+                let interval = endpoint
+                    .named_limit
+                    .map_or(Span::ZERO, |limit| send_interval(limit.rate, sharing));
+                Some((endpoint.limited_until(now)?, interval))
             })
             .collect();
         let limits = limits?;
@@ -241,6 +243,9 @@
         entries: u32,
     ) -> bool {
         let config = self.config;
+        if !self.is_rested(now, id) {
+            return false;
+        }
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return false;
         };
@@ -261,6 +266,15 @@
             .allows(now, entry_share(limit, sharing))
     }
 
+    /// Whether an endpoint that asked for rest may get another request.
+    fn is_rested(&self, now: Time, id: &EndpointId) -> bool {
+        let rest = self.endpoints.get(id).and_then(|endpoint| endpoint.rest);
+        rest.is_none_or(|rest| {
+            let since = |request: &&InFlightRequest| request.placed_at >= rest.until;
+            rest.allows(now, self.requests_at(id).filter(since).count())
+        })
+    }
+
     /// The score of an endpoint, where lower is better; `None` if it has no capacity.
     fn score(
         &self,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,7 @@
     ConfigVersion, EndpointId, Fingerprint, NotRunProof, OrganisationId, PromptPartId, Refusal,
     RefusalReason, ServiceName, Span, Time, TokenCount,
 };
-use lentil_fleet::{AttemptResult, LimitChange, LimitNotice};
+use lentil_fleet::{AttemptResult, LimitChange, LimitNotice, RestNotice};
 
 use crate::body::ResponseBody;
 use crate::endpoints::{Attestation, Call, Reply, Resume, SendError};
@@ -28,6 +28,9 @@
 /// requests are hedged, and short enough that the second response can still be
 /// on time.
 const HEDGE_DELAY_PERCENT: u64 = 60;
+/// Longest time by which callers are told to come back later than a service takes requests
+/// again, so that they don't return in the same instant.
+const RETURN_JITTER_MAX: Span = Span::from_ms(500);
 /// Expected output of a generation whose caller gives no estimate, in percent of
 /// the longest output that it allows.
 const DEFAULT_OUTPUT_PERCENT: u32 = 50;
@@ -254,7 +257,8 @@
                 SendOutcome::Declined => {
                     if !job.take_retry(self) {
                         let proof = NotRunProof::EndpointDeclined;
-                        return Err(job.refuse(RefusalReason::Overloaded, Some(proof)));
+                        let refusal = job.refuse(RefusalReason::Overloaded, Some(proof));
+                        return Err(self.with_return_time(job, generated_tokens, refusal));
                     }
                 }
                 SendOutcome::ResponseLost => {
@@ -284,10 +288,32 @@
         let found = self.wait_for_place(job, need, &excluded, wait_until).await;
         found.map_err(|refusal| {
             job.note(format!("no capacity: {}", refusal.reason));
-            job.refuse_for(refusal.reason, refusal.retry_after)
+            let refusal = job.refuse_for(refusal.reason, refusal.retry_after);
+            self.with_return_time(job, generated_tokens, refusal)
         })
     }
 
+    /// Tells the caller of a refusal to come back when an endpoint of the service takes
+    /// requests again, if all of them named a time. The endpoints that have turned the
+    /// request away count, as the caller's repeat is another request.
+    fn with_return_time(
+        &self,
+        job: &Job,
+        generated_tokens: TokenCount,
+        refusal: Refusal,
+    ) -> Refusal {
+        let now = self.now();
+        let need = Self::need(job, generated_tokens);
+        let limited = self.fleet.borrow().limited_capacity(now, &need, &[]);
+        match (refusal.retry_after, limited) {
+            (Some(retry_after), Some(limited)) => {
+                let returns_in = limited.next_at.since(now) + return_jitter(need.jitter_seed);
+                refusal.retry_after(retry_after.max(returns_in))
+            }
+            (Some(_) | None, _) => refusal,
+        }
+    }
+
     /// Sends a request to one endpoint and evaluates the response.
     async fn send_once(
         self: &Rc<Self>,
@@ -421,7 +447,25 @@
         self.record_endpoint_state(endpoint, reply);
         self.record_named_limit(job, endpoint, sent_at, reply);
         self.record_leaving(job, endpoint, reply);
-        log_notices(job, endpoint, reply);
+        self.record_rest(job, endpoint, sent_at, reply);
+    }
+
+    /// Stops sending to an endpoint that wants no requests for a while.
+    fn record_rest(&self, job: &Job, endpoint: &EndpointId, sent_at: Time, reply: &Reply) {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let Some(retry_after) = reply.retry_after else {
+            if !reply.status.is_server_error() {
+                fleet.record_answer(endpoint, sent_at);
+            }
+            return;
+        };
+        let notice = RestNotice {
+            retry_after,
+            phase_seed: job.request.id.stable_hash(),
+        };
+        fleet.record_rest(now, endpoint, notice);
+        log::info!(endpoint:% = endpoint, request:% = job.request.id, retry_after:% = retry_after; "endpoint asked for no requests");
     }
 
     /// Stops sending to an endpoint that says that it is leaving.
@@ -550,11 +594,9 @@
     }
 }
 
-/// Logs what an endpoint says about requests that it does not want.
-fn log_notices(job: &Job, endpoint: &EndpointId, reply: &Reply) {
-    if let Some(retry_after) = reply.retry_after {
-        log::info!(endpoint:% = endpoint, request:% = job.request.id, retry_after:% = retry_after; "endpoint asked for no requests");
-    }
+/// Returns a part of [`RETURN_JITTER_MAX`] that depends on the request.
+fn return_jitter(seed: u64) -> Span {
+    Span::from_us(seed % RETURN_JITTER_MAX.as_us())
 }
 
 /// Returns whether an endpoint responded without a server error.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -249,6 +249,9 @@
         let limited = self.fleet.borrow().limited_endpoints();
         let limited = i64::try_from(limited).unwrap_or(i64::MAX);
         self.metrics.limited.set(limited);
+        let resting = self.fleet.borrow().resting_endpoints(now);
+        let resting = i64::try_from(resting).unwrap_or(i64::MAX);
+        self.metrics.resting.set(resting);
     }
 
     /// Applies an update from the control thread.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,7 @@
     pub(crate) waiting: Gauge,
     pub(crate) running: Gauge,
     pub(crate) limited: Gauge,
+    pub(crate) resting: Gauge,
     pub(crate) catalog_version: Gauge,
     pub(crate) first_event_s: Histogram,
     pub(crate) pause_s: Histogram,
@@ -65,6 +66,7 @@
         let waiting = Gauge::default();
         let running = Gauge::default();
         let limited = Gauge::default();
+        let resting = Gauge::default();
         let catalog_version = Gauge::default();
         let first_event_s = Histogram::new(buckets());
         let pause_s = Histogram::new(buckets());
@@ -82,6 +84,11 @@
             "Endpoints that name a limit",
             limited.clone(),
         );
+        registry.register(
+            "resting_endpoints",
+            "Endpoints that want no requests now",
+            resting.clone(),
+        );
         registry.register(
             "catalog_version",
             "Version in force",
@@ -105,6 +112,7 @@
             waiting,
             running,
             limited,
+            resting,
             catalog_version,
             first_event_s,
             pause_s,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -309,6 +309,11 @@
         if !truncated {
             return BodyEnd::Complete;
         }
+        self.rerun_or_lose().await
+    }
+
+    /// Continues the stream with another run if its route allows that.
+    async fn rerun_or_lose(&mut self) -> BodyEnd {
         let may_rerun = self
             .gateway
             .may_rerun(&self.job, &self.permit, self.progress())
@@ -332,6 +337,19 @@
             kv_copy: Some(kv_copy),
         };
         let permit = other.as_ref().unwrap_or(&self.permit);
+        let now = self.gateway.now();
+        let allowed = self
+            .gateway
+            .fleet
+            .borrow_mut()
+            .allow_continuation(now, &permit.place.endpoint);
+        if !allowed {
+            self.job.note(format!(
+                "{} wants no requests and does not continue the stream",
+                permit.place.endpoint
+            ));
+            return self.rerun_or_lose().await;
+        }
         let call = self.gateway.build_call(&self.job, permit, Some(resume));
         let endpoint = permit.place.endpoint.clone();
         let sent_at = self.gateway.now();
