A waiting request is refused as soon as it can't be served any more

What callers saw: a request that waited for a place at a service whose last endpoint then asked for rest, named a low limit or left, was refused only at the end of its wait, up to its target latency.

Cause: whether a wait is hopeless was decided once, when it began.

Change: placing a request and refusing a hopeless one are one function, used when a request arrives and each time the queue is gone through.

Measured: endpoint_rest::waiting_request_is_refused failed before (no answer within the client's 20 s) and passes; endpoint_rest and planned_stop pass (13).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,7 +31,7 @@
 use crate::response_buffers::ResponseBuffers;
 use crate::runs::Runs;
 use crate::store_feed::{EndpointChange, ReadCatalog};
-use crate::wait_queue::WaitQueue;
+use crate::wait_queue::{Wait, WaitQueue};
 
 /// `retry-after` of a refusal when no endpoint can take the request now.
 pub(crate) const RETRY_AFTER_REFUSAL: Span = Span::from_ms(700);
@@ -97,7 +97,7 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) active_config: RefCell<CurrentCatalog>,
     pub(crate) fleet: Rc<RefCell<Fleet>>,
-    wait_queue: RefCell<WaitQueue<Permit>>,
+    wait_queue: RefCell<WaitQueue<Result<Permit, Refusal>>>,
     wake: Rc<Notify>,
     pub(crate) runs: Rc<Runs>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -241,7 +241,7 @@
     fn dispatch_waiting(&self) {
         let now = self.now();
         let mut wait_queue = self.wait_queue.borrow_mut();
-        wait_queue.dispatch(|need, excluded| self.try_place(now, need, excluded).ok());
+        wait_queue.dispatch(|wait| self.try_end_wait(now, wait, 0));
         let waiting = i64::try_from(wait_queue.len()).unwrap_or(i64::MAX);
         self.metrics.waiting.set(waiting);
         let running = i64::try_from(self.runs.len()).unwrap_or(i64::MAX);
@@ -460,43 +460,54 @@
         until: Time,
     ) -> Result<Permit, Refusal> {
         let now = self.now();
-        let not_sent = |reason| {
-            Refusal::not_run(NotRunProof::NeverSent, reason).retry_after(RETRY_AFTER_REFUSAL)
+        let wait = Wait {
+            need,
+            excluded: excluded.to_vec(),
+            until,
         };
         let waiting = self
             .wait_queue
             .borrow()
-            .earlier_waiters(&need.service, job.rank);
-        if waiting == 0 {
-            match self.try_place(now, &need, excluded) {
-                Ok(permit) => return Ok(permit),
-                Err(RefusalReason::EndpointFailed) => {
-                    return Err(not_sent(RefusalReason::EndpointFailed));
-                }
-                Err(_) => {}
-            }
-        }
-        let limited = self.fleet.borrow().limited_capacity(now, &need, excluded);
-        if let Some(limited) = limited {
-            let expected_at = limited.next_at + limited.interval.times(waiting);
-            if expected_at > until {
-                let retry_after = expected_at.since(now);
-                return Err(not_sent(RefusalReason::Overloaded).retry_after(retry_after));
-            }
+            .earlier_waiters(&wait.need.service, job.rank);
+        if let Some(result) = self.try_end_wait(now, &wait, waiting) {
+            return result;
         }
-        let place = self
-            .wait_queue
-            .borrow_mut()
-            .enqueue(job.rank, need, excluded.to_vec());
+        let place = self.wait_queue.borrow_mut().enqueue(job.rank, wait);
         let Some(place) = place else {
             return Err(not_sent(RefusalReason::Overloaded));
         };
         match tokio::time::timeout_at(self.instant(until), place).await {
-            Ok(Ok(permit)) => Ok(permit),
+            Ok(Ok(result)) => result,
             Ok(Err(_)) | Err(_) => Err(not_sent(RefusalReason::Overloaded)),
         }
     }
 
+    /// Places a request that `waiting` others are ahead of, or refuses it if it is known
+    /// that it can't be placed in time. Returns `None` if it has to wait.
+    fn try_end_wait(
+        &self,
+        now: Time,
+        wait: &Wait,
+        waiting: u64,
+    ) -> Option<Result<Permit, Refusal>> {
+        if waiting == 0 {
+            match self.try_place(now, &wait.need, &wait.excluded) {
+                Ok(permit) => return Some(Ok(permit)),
+                Err(RefusalReason::EndpointFailed) => {
+                    return Some(Err(not_sent(RefusalReason::EndpointFailed)));
+                }
+                Err(_) => {}
+            }
+        }
+        let fleet = self.fleet.borrow();
+        let limited = fleet.limited_capacity(now, &wait.need, &wait.excluded)?;
+        let expected_at = limited.next_at + limited.interval.times(waiting);
+        (expected_at > wait.until).then(|| {
+            let retry_after = expected_at.since(now);
+            Err(not_sent(RefusalReason::Overloaded).retry_after(retry_after))
+        })
+    }
+
     /// Checks that the active configuration is recent enough to trust the
     /// caller's key.
     pub(crate) fn check_config_trusted(
@@ -517,6 +528,10 @@
     }
 }
 
+fn not_sent(reason: RefusalReason) -> Refusal {
+    Refusal::not_run(NotRunProof::NeverSent, reason).retry_after(RETRY_AFTER_REFUSAL)
+}
+
 /// Returns whether requests on this route are streamed generations.
 pub(crate) const fn is_stream(route: &Route) -> bool {
     matches!(route.kind, RouteKind::Streaming)
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -3,31 +3,41 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use lentil_catalog::PriorityLevel;
-use lentil_core::{EndpointId, ServiceName};
+use lentil_core::{EndpointId, ServiceName, Time};
 use lentil_fleet::PlacementRequest;
 use tokio::sync::oneshot;
 
 /// Largest number of waiting requests.
 const WAITING_MAX: usize = 4_096;
 
+/// What a waiting request needs.
+#[derive(Debug)]
+pub(crate) struct Wait {
+    pub(crate) need: PlacementRequest,
+    /// Endpoints that it is not sent to.
+    pub(crate) excluded: Vec<EndpointId>,
+    /// How long it can wait.
+    pub(crate) until: Time,
+}
+
 /// One waiting request.
 #[derive(Debug)]
-struct Waiter<P> {
-    need: PlacementRequest,
-    excluded: Vec<EndpointId>,
-    sender: oneshot::Sender<P>,
+struct Waiter<T> {
+    wait: Wait,
+    sender: oneshot::Sender<T>,
 }
 
 /// The waiting requests of all services, the most urgent first and by
 /// arrival within a rank. A request never overtakes one of the same service that
-/// is at least as urgent. Otherwise a large request would never get capacity.
+/// is at least as urgent. Otherwise a large request would never get capacity. `T` is what a
+/// request gets at the end of its wait.
 #[derive(Debug)]
-pub(crate) struct WaitQueue<P> {
-    waiting: BTreeMap<(PriorityLevel, u64), Waiter<P>>,
+pub(crate) struct WaitQueue<T> {
+    waiting: BTreeMap<(PriorityLevel, u64), Waiter<T>>,
     next_sequence: u64,
 }
 
-impl<P> Default for WaitQueue<P> {
+impl<T> Default for WaitQueue<T> {
     fn default() -> Self {
         Self {
             waiting: BTreeMap::new(),
@@ -36,13 +46,15 @@
     }
 }
 
-impl<P> WaitQueue<P> {
+impl<T> WaitQueue<T> {
     /// Returns the number of waiting requests that a request with this rank would overtake.
     pub(crate) fn earlier_waiters(&self, service: &ServiceName, rank: PriorityLevel) -> u64 {
         self.waiting
             .iter()
             .take_while(|((waiting, _), _)| *waiting <= rank)
-            .filter(|(_, waiter)| waiter.need.service == *service && !waiter.sender.is_closed())
+            .filter(|(_, waiter)| {
+                waiter.wait.need.service == *service && !waiter.sender.is_closed()
+            })
             .fold(0, |count, _| count + 1)
     }
 
@@ -50,30 +62,22 @@
     pub(crate) fn enqueue(
         &mut self,
         rank: PriorityLevel,
-        need: PlacementRequest,
-        excluded: Vec<EndpointId>,
-    ) -> Option<oneshot::Receiver<P>> {
+        wait: Wait,
+    ) -> Option<oneshot::Receiver<T>> {
         if self.waiting.len() >= WAITING_MAX {
             return None;
         }
         let (sender, receiver) = oneshot::channel();
         let sequence = self.next_sequence;
         self.next_sequence += 1;
-        let waiter = Waiter {
-            need,
-            excluded,
-            sender,
-        };
-        self.waiting.insert((rank, sequence), waiter);
+        self.waiting
+            .insert((rank, sequence), Waiter { wait, sender });
         Some(receiver)
     }
 
-    /// Places waiting requests with `place`, in order. Requests that no longer wait
-    /// are removed.
-    pub(crate) fn dispatch(
-        &mut self,
-        mut place: impl FnMut(&PlacementRequest, &[EndpointId]) -> Option<P>,
-    ) {
+    /// Ends the waits that `end` returns something for, in order. Requests that no longer
+    /// wait are removed.
+    pub(crate) fn dispatch(&mut self, mut end: impl FnMut(&Wait) -> Option<T>) {
         self.waiting.retain(|_, waiter| !waiter.sender.is_closed());
         let mut blocked: BTreeSet<ServiceName> = BTreeSet::new();
         let keys: Vec<_> = self.waiting.keys().copied().collect();
@@ -81,15 +85,15 @@
             let Some(waiter) = self.waiting.get(&key) else {
                 continue;
             };
-            if blocked.contains(&waiter.need.service) {
+            if blocked.contains(&waiter.wait.need.service) {
                 continue;
             }
-            let Some(placed) = place(&waiter.need, &waiter.excluded) else {
-                blocked.insert(waiter.need.service.clone());
+            let Some(result) = end(&waiter.wait) else {
+                blocked.insert(waiter.wait.need.service.clone());
                 continue;
             };
             if let Some(waiter) = self.waiting.remove(&key) {
-                drop(waiter.sender.send(placed));
+                drop(waiter.sender.send(result));
             }
         }
     }
--- a/crates/lentiltray/tests/it/endpoint_rest.rs
+++ b/crates/lentiltray/tests/it/endpoint_rest.rs
@@ -245,3 +245,35 @@
         .collect();
     assert_eq!(statuses, [200, 500, 502, 200, 200, 200]);
 }
+
+/// A request that waits for a place is refused as soon as its only endpoint asks for rest.
+#[test]
+fn waiting_request_is_refused() {
+    let resting = Replica::start("i-1", |request, stream| {
+        if request.target == "/v1/report" {
+            return write_response(stream, &Framing::Length.response(503, "", ""));
+        }
+        std::thread::sleep(Duration::from_millis(300));
+        refuse(Proof::NotRun, Framing::Length, "600", request, stream)
+    });
+    let site = Site::start("rest_waiting", &[(&resting, "writers")]);
+    let mut connections: Vec<_> = (0..3).map(|_| site.connect()).collect();
+    for (number, connection) in connections.iter_mut().enumerate() {
+        // The engine's memory has room for one of them.
+        let head = request_head("/patient/a", &format!("r{number}"), "");
+        let head = head.replace("300,40", "20000,40");
+        connection.send(
+            &head.replace("Deadline-Ms: 2500", "Deadline-Ms: 60000"),
+            "hello",
+        );
+    }
+    for mut connection in connections {
+        let response = connection
+            .receive()
+            .expect("an answer before the wait ends");
+        assert_eq!(response.status, 503);
+        let retry_after: f64 = response.header("retry-after").unwrap().parse().unwrap();
+        assert!(retry_after > LONG_S / 2.0, "{retry_after} s");
+    }
+    assert_eq!(resting.requests().len(), 1);
+}
--- a/crates/lentiltray/tests/it/gateway_harness.rs
+++ b/crates/lentiltray/tests/it/gateway_harness.rs
@@ -120,9 +120,15 @@
 /// Builds the configuration that all tests use.
 pub(crate) fn config(version: u64) -> Value {
     let route = |prefix: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
-        let timeout_ms = if kind == "streaming" { 9_000 } else { 3_000 };
+        let (timeout_ms, target_latency_ms) = match (prefix, kind) {
+            // Longer than a test's client waits.
+            ("/patient/", _) => (60_000, 60_000),
+            (_, "streaming") => (9_000, 200),
+            _ => (3_000, 200),
+        };
         json!({"name": prefix, "host": "h.example", "pathPrefix": prefix, "kind": kind,
-            "timeoutMs": timeout_ms, "targetLatencyMs": 200, "priority": 1, "service": service,
+            "timeoutMs": timeout_ms, "targetLatencyMs": target_latency_ms, "priority": 1,
+            "service": service,
             "maxAttempts": attempts, "public": false, "sticky": true, "resumable": resumable})
     };
     json!({
@@ -132,6 +138,7 @@
             route("/confirm/", "non_idempotent", "desk", 2, false),
             route("/report/", "streaming", "writers", 1, false),
             route("/note/", "streaming", "writers", 2, true),
+            route("/patient/", "streaming", "writers", 1, false),
         ],
         "services": [
             {"name": "desk", "healthPath": "/health", "maxConnections": 50, "protocol": "h1",
