Add failing tests of crowds of clients whose bodies use up a gateway's memory

What callers saw: clients that are not ours sent many large bodies of legal size, whole, in pieces or in chunks, stopped just short of their end and stayed; or sent more than allowed. A process ran out of memory, and all its callers lost their requests.

Cause: not changed here. Each body is limited, their sum is not: up to 2,800 callers' connections may hold 4 MiB each.

Change: 48 clients (16 that send too much) against one gateway process; bounds: the memory (88 MB) and descriptors of a small entry host, one ordinary request is served, no request of the crowd runs.

--- a/crates/lentiltray/tests/it/daemon_process.rs
+++ b/crates/lentiltray/tests/it/daemon_process.rs
@@ -125,6 +125,12 @@
             .any(|target| target.to_string_lossy().contains("io_uring"))
     }
 
+    /// Returns the number of open descriptors.
+    pub(crate) fn open_descriptors(&self) -> usize {
+        let descriptors = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap();
+        descriptors.count()
+    }
+
     /// Returns the most memory that the process had in use, in KB.
     pub(crate) fn peak_memory_kb(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.id());
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -29,6 +29,7 @@
 mod killed_executor;
 mod leaving_answers;
 mod lost_store;
+mod misbehaving_clients;
 mod moved_streams;
 mod named_limits;
 mod odd_answers;
--- /dev/null
+++ b/crates/lentiltray/tests/it/misbehaving_clients.rs
@@ -0,0 +1,232 @@
+//! Crowds of clients that send large bodies and stop, or send more than allowed.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::daemon_process::DaemonProcess;
+use crate::fake_http::ClientConnection;
+use crate::gateway_harness::{Replica, Site, config, request_head, respond_ok};
+
+/// Number of clients in a crowd.
+const CROWD: usize = 48;
+/// Number of clients that send more than allowed.
+const FLOOD: usize = 16;
+/// Largest body that a client may send.
+const BODY_MAX_BYTES: usize = 4 * 1024 * 1024;
+/// Memory of a small entry host.
+const MEMORY_MAX_KB: u64 = 88 * 1024;
+/// Descriptors of a small entry host, without those for files.
+const DESCRIPTORS_MAX: usize = 3_900;
+/// Bytes that a process and the network between them take in at most from a client that
+/// sends more than allowed.
+const FLOOD_MAX_BYTES: usize = 16 * 1024 * 1024;
+/// Time without a new peak of memory after which a process has read what was sent.
+const SETTLE_TIME: Duration = Duration::from_millis(1_000);
+/// Longest time in which a client waits to send.
+const SEND_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// How a body is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sending {
+    /// With its length, in pieces of this size.
+    Length { piece: usize },
+    /// In chunks of this size.
+    Chunks { chunk: usize },
+}
+
+impl Sending {
+    fn header(self, length: usize) -> String {
+        match self {
+            Self::Length { .. } => format!("Content-Length: {length}"),
+            Self::Chunks { .. } => "Transfer-Encoding: chunked".to_owned(),
+        }
+    }
+
+    /// Encodes `bytes` of a body, without its end.
+    fn encode(self, bytes: usize) -> Vec<u8> {
+        match self {
+            Self::Length { .. } => vec![b'x'; bytes],
+            Self::Chunks { chunk } => {
+                let one = format!("{chunk:x}\r\n{}\r\n", "x".repeat(chunk));
+                one.repeat(bytes / chunk).into_bytes()
+            }
+        }
+    }
+
+    const fn piece(self) -> usize {
+        match self {
+            Self::Length { piece } => piece,
+            Self::Chunks { .. } => 64 * 1024,
+        }
+    }
+}
+
+/// Sends as much as the process takes, and returns how much that was.
+fn send_all(stream: &mut TcpStream, bytes: &[u8], piece: usize) -> usize {
+    let mut sent = 0;
+    for part in bytes.chunks(piece) {
+        if stream.write_all(part).is_err() {
+            break;
+        }
+        sent += part.len();
+    }
+    sent
+}
+
+/// Opens connections that each send a body of legal size but for its end. They stay open as
+/// long as the result lives.
+fn send_crowd(
+    address: SocketAddr,
+    head: impl Fn(usize) -> String,
+    sending: Sending,
+) -> Vec<TcpStream> {
+    let body = Arc::new(sending.encode(BODY_MAX_BYTES - 64));
+    let senders: Vec<_> = (0..CROWD)
+        .map(|number| {
+            let head = format!("{}\r\n\r\n", head(number).replace('\n', "\r\n"));
+            let body = Arc::clone(&body);
+            std::thread::spawn(move || {
+                let mut stream = TcpStream::connect(address).unwrap();
+                stream.set_write_timeout(Some(SEND_TIMEOUT)).unwrap();
+                if stream.write_all(head.as_bytes()).is_ok() {
+                    send_all(&mut stream, &body, sending.piece());
+                }
+                stream
+            })
+        })
+        .collect();
+    senders
+        .into_iter()
+        .map(|sender| sender.join().unwrap())
+        .collect()
+}
+
+/// Checks that a process stays within the limits of its host, once it has read what was
+/// sent.
+fn check_limits(process: &DaemonProcess) {
+    let mut peak_kb = 0;
+    while process.peak_memory_kb() > peak_kb {
+        peak_kb = process.peak_memory_kb();
+        std::thread::sleep(SETTLE_TIME);
+    }
+    assert!(peak_kb < MEMORY_MAX_KB, "{peak_kb} KB in use");
+    let descriptors = process.open_descriptors();
+    assert!(descriptors < DESCRIPTORS_MAX, "{descriptors} are open");
+}
+
+fn gateway_head(number: usize, sending: Sending, length: usize) -> String {
+    let head = request_head("/confirm/a", &format!("crowd{number}"), "")
+        .replace("Deadline-Ms: 2500", "Deadline-Ms: 60000");
+    format!("{head}\n{}", sending.header(length))
+}
+
+/// A gateway whose configuration allows large bodies.
+fn gateway_site(test: &str, desk: &Replica) -> Site {
+    let site = Site::start(test, &[(desk, "desk")]);
+    let mut large = config(2);
+    large["limits"]["maxBodyBytes"] = json!(BODY_MAX_BYTES);
+    site.store.put("keyed.op", "config", Some(&large));
+    while site.gateway.wait_for_line("a version is in force")["kvs"]["version"] != "2" {}
+    site
+}
+
+/// A crowd holds its connections open short of the end of their bodies. The gateway stays
+/// within its host's limits, runs none of them and serves others.
+fn check_gateway(test: &str, sending: Sending) {
+    let desk = Replica::start("i-1", respond_ok);
+    let site = gateway_site(test, &desk);
+    let head = |number| gateway_head(number, sending, BODY_MAX_BYTES);
+    let crowd = send_crowd(site.gateway.address("callers"), head, sending);
+    assert_eq!(site.call("/confirm/a", "ordinary", "").unwrap().status, 200);
+    check_limits(&site.gateway);
+    assert_eq!(desk.requests().len(), 1);
+    drop(crowd);
+}
+
+#[test]
+fn large_bodies_stop_short() {
+    let piece = BODY_MAX_BYTES;
+    check_gateway("crowd_large", Sending::Length { piece });
+}
+
+#[test]
+fn bodies_in_pieces_stop_short() {
+    check_gateway("crowd_pieces", Sending::Length { piece: 4 * 1024 });
+}
+
+#[test]
+fn large_chunks_stop_short() {
+    let chunk = 64 * 1024;
+    check_gateway("crowd_chunks", Sending::Chunks { chunk });
+}
+
+#[test]
+fn tiny_chunks_stop_short() {
+    check_gateway("crowd_tiny", Sending::Chunks { chunk: 32 });
+}
+
+/// Clients that send far more than allowed, announced or not, are cut off.
+#[test]
+fn bodies_over_limit() {
+    let desk = Replica::start("i-1", respond_ok);
+    let site = gateway_site("crowd_over", &desk);
+    let address = site.gateway.address("callers");
+    let sendings = [
+        Sending::Length { piece: 64 * 1024 },
+        Sending::Chunks { chunk: 64 * 1024 },
+        Sending::Chunks { chunk: 32 },
+    ];
+    for sending in sendings {
+        let body = Arc::new(sending.encode(FLOOD_MAX_BYTES));
+        let senders: Vec<_> = (0..FLOOD)
+            .map(|number| {
+                let head = gateway_head(number, sending, 1 << 40).replace('\n', "\r\n");
+                let body = Arc::clone(&body);
+                std::thread::spawn(move || {
+                    let mut stream = TcpStream::connect(address).unwrap();
+                    stream.set_write_timeout(Some(SEND_TIMEOUT)).unwrap();
+                    let head = format!("{head}\r\n\r\n");
+                    stream.write_all(head.as_bytes()).unwrap();
+                    let sent = send_all(&mut stream, &body, sending.piece());
+                    assert!(sent < body.len(), "{sending:?} is read without end");
+                })
+            })
+            .collect();
+        for sender in senders {
+            sender.join().unwrap();
+        }
+        assert_eq!(site.call("/confirm/a", "ordinary", "").unwrap().status, 200);
+    }
+    check_limits(&site.gateway);
+    assert_eq!(desk.requests().len(), sendings.len());
+}
+
+/// A single request of the largest size is served, whatever its framing.
+#[test]
+fn largest_body_is_served() {
+    let desk = Replica::start("i-1", respond_ok);
+    let site = gateway_site("crowd_calm", &desk);
+    for sending in [
+        Sending::Length {
+            piece: BODY_MAX_BYTES,
+        },
+        Sending::Chunks { chunk: 64 * 1024 },
+        Sending::Chunks { chunk: 32 },
+    ] {
+        let mut connection = ClientConnection::open(site.gateway.address("callers"));
+        let head = gateway_head(0, sending, BODY_MAX_BYTES).replace('\n', "\r\n");
+        connection.send_bytes(format!("{head}\r\n\r\n").as_bytes());
+        connection.send_bytes(&sending.encode(BODY_MAX_BYTES));
+        if let Sending::Chunks { .. } = sending {
+            connection.send_bytes(b"0\r\n\r\n");
+        }
+        assert_eq!(connection.receive().unwrap().status, 200, "{sending:?}");
+    }
+    let lengths: Vec<_> = desk.requests().iter().map(|r| r.body.len()).collect();
+    assert_eq!(lengths, [BODY_MAX_BYTES; 3]);
+    check_limits(&site.gateway);
+}
