The bodies of all requests to a gateway share a limited memory

What callers saw: a crowd of clients with large bodies that stop just short of their end made a process run out of memory; all callers of that host lost their requests.

Cause: a body was limited and their sum was not. Each connection buffered up to maxBodyBytes (4 MiB) for up to its caller's deadline, with twice that while the buffer grew. Class: a limit for each of many, and none for all.

Change: one budget of bytes for all bodies of a process (lentil-shell, body_budget), whatever their framing, until nothing refers to them any more, so also while they wait and run. It is asked only when a buffer grows, so tiny chunks cost a copy each and no lock. Bodies up to 4 KB don't count, so ordinary requests are served meanwhile; a body that is alone is always received. A length over the limit is refused before anything is read; nothing more is read of what is refused. Setting gateway.bounds.body_memory_kb, 32 MB by default.

Ruled out: one limit for each connection (2,800 times 4 KB is all that a small host bears), and refusing only newcomers (the crowd would hold the memory until its deadlines).

Why it works: the sum is checked before a buffer grows, and a body that gives way counts until it is freed.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -9,17 +9,18 @@
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use lentil_shell::{BodyBuffer, BodyRefused};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::LocalFuture;
-use crate::body::{ChunkJoiner, ResponseBody};
+use crate::body::ResponseBody;
 use crate::counted_stream::CountedStream;
 use crate::pool::enable_keepalive;
 use crate::shutdown::ShutdownStage;
@@ -213,32 +214,41 @@
     /// The caller disconnected.
     #[error("the body was interrupted")]
     Interrupted,
+    /// There is no memory for the body.
+    #[error("there is no memory for the body")]
+    NoMemory,
 }
 
-/// Reads a request body to its end.
+impl From<BodyRefused> for BodyError {
+    fn from(refused: BodyRefused) -> Self {
+        match refused {
+            BodyRefused::TooLong => Self::TooLong,
+            BodyRefused::NoMemory => Self::NoMemory,
+        }
+    }
+}
+
+/// Reads a request body to its end. Nothing more is read of a body that is refused.
 ///
 /// # Errors
-/// The body is too long, late or interrupted.
+/// The body is too long, late or interrupted, or there is no memory for it.
 pub async fn read_body(
     mut body: Incoming,
-    max_bytes: usize,
+    mut buffer: BodyBuffer,
     until: Instant,
 ) -> Result<Bytes, BodyError> {
-    let mut joiner = ChunkJoiner::default();
+    buffer.check_announced(body.size_hint().lower())?;
     loop {
-        let frame = tokio::time::timeout_at(until, body.frame())
-            .await
-            .map_err(|_| BodyError::TimedOut)?;
-        let Some(frame) = frame else {
-            return Ok(joiner.into_bytes());
+        let frame = tokio::select! {
+            frame = tokio::time::timeout_at(until, body.frame()) => frame,
+            () = buffer.evicted() => return Err(BodyError::NoMemory),
         };
-        let frame = frame.map_err(|_| BodyError::Interrupted)?;
-        let Ok(chunk) = frame.into_data() else {
-            continue;
+        let Some(frame) = frame.map_err(|_| BodyError::TimedOut)? else {
+            return Ok(buffer.finish()?);
         };
-        if joiner.len() + chunk.len() > max_bytes {
-            return Err(BodyError::TooLong);
+        let frame = frame.map_err(|_| BodyError::Interrupted)?;
+        if let Ok(chunk) = frame.into_data() {
+            buffer.push(&chunk).await?;
         }
-        joiner.push(chunk);
     }
 }
--- a/crates/lentiltray/src/command/gateway.rs
+++ b/crates/lentiltray/src/command/gateway.rs
@@ -20,7 +20,7 @@
     ShutdownStage, serve,
 };
 use lentil_settings::{Node, NodeRole};
-use lentil_shell::{BootClock, SignalAction, StopSignals, spawn_io};
+use lentil_shell::{BodyBudget, BootClock, SignalAction, StopSignals, spawn_io};
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
 
@@ -210,6 +210,7 @@
         handler: Rc::new(CallerHandler::new(
             Rc::clone(&gateway),
             Rc::clone(&connections),
+            BodyBudget::new(settings.body_memory),
         )),
         connections,
     };
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -4,7 +4,7 @@
 use std::num::{NonZeroU16, NonZeroU64};
 use std::path::Path;
 
-use lentil_core::{Span, ZoneId};
+use lentil_core::{ByteCount, Span, ZoneId};
 
 use crate::load::{locate_field, parse_schema, read};
 use crate::{InvalidField, InvalidSetting, LogLevel, Problem, SettingsError};
@@ -81,6 +81,8 @@
     pub receiver_wait: Span,
     /// Time without a complete event after which a stream that has begun is ended.
     pub stream_stall: Span,
+    /// Memory for the bodies of all callers' requests together.
+    pub body_memory: ByteCount,
     /// Number of gateways up to which each of them reads the store itself.
     pub direct_readers_max: u32,
     /// Number of engines that a gateway places generations at.
@@ -205,6 +207,7 @@
             renewal: Span::from_ms(bounds.renewal_ms),
             receiver_wait: Span::from_ms(bounds.receiver_wait_ms),
             stream_stall: millis(bounds.stream_stall_ms),
+            body_memory: ByteCount::new(bounds.body_memory_kb * 1024),
             direct_readers_max: bounds.direct_readers_max,
             followed_engines_max: bounds.followed_engines_max.get(),
         })
--- a/crates/settings/src/node/generated.rs
+++ b/crates/settings/src/node/generated.rs
@@ -3,6 +3,9 @@
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct BoundSettings {
+    ///Memory for the bodies of all callers' requests together, in KB. A request that finds none is refused; a single one is always received.
+    #[serde(default = "defaults::default_u64::<u64, 32768>")]
+    pub body_memory_kb: u64,
     ///Requests per second that a cold endpoint can serve in excess of its nominal rate.
     #[serde(default = "defaults::bound_settings_cold_slack_per_s")]
     pub cold_slack_per_s: f64,
@@ -43,6 +46,7 @@
 impl ::std::default::Default for BoundSettings {
     fn default() -> Self {
         Self {
+            body_memory_kb: defaults::default_u64::<u64, 32768>(),
             cold_slack_per_s: defaults::bound_settings_cold_slack_per_s(),
             direct_readers_max: defaults::default_u64::<u32, 6>(),
             drain_ms: defaults::default_nzu64::<::std::num::NonZeroU64, 2000>(),
--- /dev/null
+++ b/crates/shell/src/body_budget.rs
@@ -0,0 +1,290 @@
+//! The memory for the bodies of all requests to a process, however they are framed.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use lentil_core::ByteCount;
+use thiserror::Error;
+use tokio::sync::Notify;
+
+/// Bodies up to this size don't count. Ordinary requests are served while others use up the
+/// memory, and the number of connections limits them.
+const UNCOUNTED_BYTES: usize = 4 * 1024;
+/// What a connection holds besides while it receives a body: the read buffer of the HTTP
+/// library.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+/// Smallest buffer of a body.
+const CAPACITY_MIN_BYTES: usize = 1024;
+/// Longest wait until a body that gives way has released its memory.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Why a body is not read on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum BodyRefused {
+    /// It is longer than allowed.
+    #[error("the body is longer than allowed")]
+    TooLong,
+    /// There is no memory for it beside the other requests' bodies.
+    #[error("there is no memory for the body")]
+    NoMemory,
+}
+
+/// Limits the memory of all bodies of a process. A body that is still being received gives
+/// way to one that needs less, the largest first.
+#[derive(Debug, Clone)]
+pub struct BodyBudget(Arc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    max_bytes: usize,
+    state: Mutex<State>,
+    /// Wakes the bodies that wait for memory.
+    released: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    used_bytes: usize,
+    /// What bodies that were told to give way still hold.
+    leaving_bytes: usize,
+    /// Bodies that are being received, by their size and number.
+    incomplete: BTreeMap<(usize, u64), Arc<Notify>>,
+    next_number: u64,
+}
+
+impl State {
+    /// Tells the largest body that holds more than `bytes` to give way. Returns `false` if
+    /// there is none.
+    fn evict_larger_than(&mut self, bytes: usize) -> bool {
+        let Some(largest) = self.incomplete.last_entry() else {
+            return false;
+        };
+        let (held_bytes, _) = *largest.key();
+        if held_bytes <= bytes {
+            return false;
+        }
+        largest.remove().notify_one();
+        self.leaving_bytes += held_bytes;
+        true
+    }
+}
+
+impl BodyBudget {
+    /// Allows `max` for all bodies together. A single body is always allowed.
+    #[must_use]
+    pub fn new(max: ByteCount) -> Self {
+        Self(Arc::new(Shared {
+            max_bytes: usize::try_from(max.get()).unwrap_or(usize::MAX),
+            state: Mutex::default(),
+            released: Notify::new(),
+        }))
+    }
+
+    /// Returns an empty buffer for a body of at most `max_bytes`.
+    #[must_use]
+    pub fn buffer(&self, max_bytes: usize) -> BodyBuffer {
+        let number = {
+            let mut state = self.state();
+            state.next_number += 1;
+            state.next_number
+        };
+        BodyBuffer {
+            bytes: Vec::new(),
+            max_bytes,
+            reservation: Reservation {
+                budget: self.clone(),
+                number,
+                held_bytes: 0,
+                stage: Stage::Uncounted,
+                evicted: Arc::default(),
+            },
+        }
+    }
+
+    /// Memory that counts towards the limit now.
+    #[must_use]
+    pub fn used(&self) -> ByteCount {
+        ByteCount::new(u64::try_from(self.state().used_bytes).unwrap_or(u64::MAX))
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What a body's memory is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Nothing counts yet.
+    Uncounted,
+    /// The body is being received, and may have to give way.
+    Receiving,
+    /// The body is complete.
+    Complete,
+}
+
+/// The memory that one body takes up. Dropping it releases the memory.
+#[derive(Debug)]
+struct Reservation {
+    budget: BodyBudget,
+    number: u64,
+    held_bytes: usize,
+    stage: Stage,
+    /// Notified when the body has to give way.
+    evicted: Arc<Notify>,
+}
+
+impl Reservation {
+    /// Sets what a body that is being received holds, once there is room.
+    async fn grow_to(&mut self, bytes: usize) -> Result<(), BodyRefused> {
+        let give_up_at = tokio::time::Instant::now() + RELEASE_TIMEOUT;
+        let shared = Arc::clone(&self.budget.0);
+        loop {
+            let mut released = std::pin::pin!(shared.released.notified());
+            released.as_mut().enable();
+            if self.try_grow_to(bytes)? {
+                return Ok(());
+            }
+            let wait = tokio::time::timeout_at(give_up_at, released).await;
+            wait.map_err(|_| BodyRefused::NoMemory)?;
+        }
+    }
+
+    /// Returns `false` if bodies that were told to give way still hold the memory.
+    fn try_grow_to(&mut self, bytes: usize) -> Result<bool, BodyRefused> {
+        let max_bytes = self.budget.0.max_bytes;
+        let key = (self.held_bytes, self.number);
+        let mut state = self.budget.state();
+        if self.stage == Stage::Receiving && !state.incomplete.contains_key(&key) {
+            return Err(BodyRefused::NoMemory);
+        }
+        let others_bytes = state.used_bytes - self.held_bytes;
+        if others_bytes > 0 {
+            while others_bytes - state.leaving_bytes + bytes > max_bytes {
+                if !state.evict_larger_than(bytes) {
+                    return Err(BodyRefused::NoMemory);
+                }
+            }
+            if others_bytes + bytes > max_bytes {
+                return Ok(false);
+            }
+        }
+        state.incomplete.remove(&key);
+        let evicted = Arc::clone(&self.evicted);
+        state.incomplete.insert((bytes, self.number), evicted);
+        state.used_bytes = others_bytes + bytes;
+        drop(state);
+        self.held_bytes = bytes;
+        self.stage = Stage::Receiving;
+        Ok(true)
+    }
+
+    /// Sets what a body holds that has been received. From now on it does not give way.
+    fn complete(&mut self, bytes: usize) -> Result<(), BodyRefused> {
+        if self.stage == Stage::Uncounted {
+            return Ok(());
+        }
+        let mut state = self.budget.state();
+        let key = (self.held_bytes, self.number);
+        if state.incomplete.remove(&key).is_none() {
+            return Err(BodyRefused::NoMemory);
+        }
+        state.used_bytes = state.used_bytes - self.held_bytes + bytes;
+        drop(state);
+        self.held_bytes = bytes;
+        self.stage = Stage::Complete;
+        self.budget.0.released.notify_waiters();
+        Ok(())
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        let mut state = self.budget.state();
+        state.used_bytes -= self.held_bytes;
+        let key = (self.held_bytes, self.number);
+        if self.stage == Stage::Receiving && state.incomplete.remove(&key).is_none() {
+            state.leaving_bytes -= self.held_bytes;
+        }
+        drop(state);
+        if self.stage != Stage::Uncounted {
+            self.budget.0.released.notify_waiters();
+        }
+    }
+}
+
+/// The body of one request while it is received.
+#[derive(Debug)]
+pub struct BodyBuffer {
+    bytes: Vec<u8>,
+    max_bytes: usize,
+    reservation: Reservation,
+}
+
+/// A complete body with its reservation.
+struct CompleteBody {
+    bytes: Vec<u8>,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for CompleteBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl BodyBuffer {
+    /// Checks the length that a request announces.
+    ///
+    /// # Errors
+    /// It is longer than allowed.
+    pub fn check_announced(&self, bytes: u64) -> Result<(), BodyRefused> {
+        let fits = usize::try_from(bytes).is_ok_and(|bytes| bytes <= self.max_bytes);
+        fits.then_some(()).ok_or(BodyRefused::TooLong)
+    }
+
+    /// Appends received bytes. Waits if other bodies have to give way first.
+    ///
+    /// # Errors
+    /// The body is too long, or there is no memory for it. It must not be read on.
+    pub async fn push(&mut self, chunk: &[u8]) -> Result<(), BodyRefused> {
+        let length = self.bytes.len() + chunk.len();
+        if length > self.max_bytes {
+            return Err(BodyRefused::TooLong);
+        }
+        if length > self.bytes.capacity() {
+            let doubled = (self.bytes.capacity() * 2).max(CAPACITY_MIN_BYTES);
+            let capacity = doubled.min(self.max_bytes).max(length);
+            if capacity > UNCOUNTED_BYTES {
+                let held_bytes = capacity + READ_BUFFER_BYTES;
+                self.reservation.grow_to(held_bytes).await?;
+            }
+            self.bytes.reserve_exact(capacity - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(chunk);
+        Ok(())
+    }
+
+    /// Returns once this body has to give way.
+    pub async fn evicted(&self) {
+        self.reservation.evicted.notified().await;
+    }
+
+    /// Returns the complete body. Its memory counts until the last clone is dropped.
+    ///
+    /// # Errors
+    /// The body had to give way.
+    pub fn finish(mut self) -> Result<Bytes, BodyRefused> {
+        self.bytes.shrink_to_fit();
+        self.reservation.complete(self.bytes.len())?;
+        if self.reservation.stage == Stage::Uncounted {
+            return Ok(Bytes::from(self.bytes));
+        }
+        Ok(Bytes::from_owner(CompleteBody {
+            bytes: self.bytes,
+            _reservation: self.reservation,
+        }))
+    }
+}
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -2,6 +2,7 @@
 //! channels between them, logs, metrics, traces, key checks, TLS, the
 //! operations listener and signal handling.
 
+mod body_budget;
 mod channel;
 mod clock;
 mod keys;
@@ -17,6 +18,7 @@
 mod tls;
 mod trace;
 
+pub use body_budget::{BodyBudget, BodyBuffer, BodyRefused};
 pub use channel::{BoundedReceiver, BoundedSender, SendError, bounded_channel};
 pub use clock::{BootClock, Clock};
 pub use keys::{bearer_matches, bearer_value};
--- /dev/null
+++ b/crates/shell/tests/it/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the runtime support.
+
+mod body_budget;
