Add failing tests of crowds at entries, agents and observers

What callers saw: as at gateways; the same cause looked for on the other listeners.

Cause: not changed here. Entries limit each body, gRPC listeners each message, and none of them their sum.

Change: the crowd of 48 clients at an entry; 64 calls over 8 connections at an agent and at an observer, each with all but the end of a message of 4 MiB. The bounds are those of a gateway.

--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -39,6 +39,7 @@
 mod planned_stop;
 mod poison_request;
 mod prompt_part;
+mod raw_grpc;
 mod separate_processes;
 mod service_crash;
 mod settings_check;
--- a/crates/lentiltray/tests/it/misbehaving_clients.rs
+++ b/crates/lentiltray/tests/it/misbehaving_clients.rs
@@ -1,18 +1,26 @@
 //! Crowds of clients that send large bodies and stop, or send more than allowed.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::json;
 
-use crate::daemon_process::DaemonProcess;
-use crate::fake_http::ClientConnection;
-use crate::gateway_harness::{Replica, Site, config, request_head, respond_ok};
+use crate::caller::{Caller, block_on, completion};
+use crate::daemon_process::{ANONYMOUS_CALLERS, DaemonPair, DaemonProcess};
+use crate::fake_http::{ClientConnection, response_with_length};
+use crate::gateway_harness::{
+    Replica, Site, config, free_port, request_head, respond_ok, start_observer, wait_until,
+    write_response,
+};
+use crate::raw_grpc::RawGrpc;
 
 /// Number of clients in a crowd.
 const CROWD: usize = 48;
+/// Number of messages in a crowd at a gRPC listener, and of its connections.
+const GRPC_CROWD: usize = 64;
+const GRPC_CONNECTIONS: usize = 8;
 /// Number of clients that send more than allowed.
 const FLOOD: usize = 16;
 /// Largest body that a client may send.
@@ -230,3 +238,91 @@
     assert_eq!(lengths, [BODY_MAX_BYTES; 3]);
     check_limits(&site.gateway);
 }
+
+/// A crowd at an entry, whose own limit is the same.
+fn check_entry(test: &str, sending: Sending) {
+    let pair = DaemonPair::start(test, ANONYMOUS_CALLERS);
+    let address = pair.entry.address("callers");
+    let head = |_| {
+        let header = sending.header(BODY_MAX_BYTES);
+        format!("POST /v1/completions HTTP/1.1\nHost: x\nContent-Type: application/json\n{header}")
+    };
+    let crowd = send_crowd(address, head, sending);
+    block_on(async move {
+        let caller = Caller::new().await;
+        let body = completion("ordinary", 4, false);
+        assert_eq!(caller.complete(address, &body).await.status(), 200);
+    });
+    check_limits(&pair.entry);
+    drop(crowd);
+}
+
+#[test]
+fn large_bodies_at_entry() {
+    let piece = BODY_MAX_BYTES;
+    check_entry("crowd_entry_large", Sending::Length { piece });
+}
+
+#[test]
+fn large_chunks_at_entry() {
+    let chunk = 64 * 1024;
+    check_entry("crowd_entry_chunks", Sending::Chunks { chunk });
+}
+
+#[test]
+fn tiny_chunks_at_entry() {
+    check_entry("crowd_entry_tiny", Sending::Chunks { chunk: 32 });
+}
+
+/// Begins calls of the largest message and sends all but its end.
+fn send_messages(address: SocketAddr, path: &'static str) -> Vec<RawGrpc> {
+    let senders: Vec<_> = (0..GRPC_CONNECTIONS)
+        .map(|_| {
+            std::thread::spawn(move || {
+                let message = vec![b'x'; BODY_MAX_BYTES - 64];
+                let mut connection = RawGrpc::open(address);
+                for _ in 0..GRPC_CROWD / GRPC_CONNECTIONS {
+                    let call = connection.begin(path, BODY_MAX_BYTES);
+                    connection.send(call, &message);
+                }
+                connection
+            })
+        })
+        .collect();
+    senders
+        .into_iter()
+        .map(|sender| sender.join().unwrap())
+        .collect()
+}
+
+#[test]
+fn large_messages_at_agent() {
+    let pair = DaemonPair::start("crowd_agent", ANONYMOUS_CALLERS);
+    let crowd = send_messages(pair.agent.address("peers"), "/lentiltray.v1.Agent/Run");
+    let entry = pair.entry.address("callers");
+    block_on(async move {
+        let caller = Caller::new().await;
+        let body = completion("ordinary", 4, false);
+        assert_eq!(caller.complete(entry, &body).await.status(), 200);
+    });
+    check_limits(&pair.agent);
+    drop(crowd);
+}
+
+#[test]
+fn large_messages_at_observer() {
+    let report = json!({"stage": "combined", "models": [], "busy": false, "sequence": 1,
+        "waiting": 0, "running": 0, "kvUsed": 0, "kvTotal": 34000, "handles": 0});
+    let engine = Replica::start("i-1", move |_, stream| {
+        let body = report.to_string();
+        write_response(stream, &response_with_length(200, "", body.as_bytes()))
+    });
+    let port = free_port(Ipv4Addr::LOCALHOST);
+    let observer = start_observer("crowd_observer", &engine, port, None);
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    let crowd = send_messages(address, "/lentiltray.v1.Observer/Accuse");
+    let seen = engine.report_count();
+    wait_until("the observer goes on", || engine.report_count() > seen + 2);
+    check_limits(&observer);
+    drop(crowd);
+}
