The bodies of all requests to an entry share a limited memory

What callers saw: as at gateways, an entry ran out of memory with a crowd of bodies that don't end.

Cause: as at gateways: each body is limited, their sum over 8,192 connections is not.

Change: entries read bodies through the same budget (lentil-shell, body_budget), shared by all workers, in place of the framework's buffer. Setting limits.body_memory_kb, 32 MB by default.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -4,18 +4,20 @@
 use std::num::NonZeroU64;
 use std::sync::Arc;
 
-use lentil_core::{AttemptId, EndpointId, OrganisationId, Permille, Refusal, RefusalReason, Span};
+use lentil_core::{
+    AttemptId, ByteCount, EndpointId, OrganisationId, Permille, Refusal, RefusalReason, Span,
+};
 use lentil_settings::Process;
-use lentil_shell::{BoundedSender, Clock, RequestTracker};
+use lentil_shell::{BodyBudget, BoundedSender, Clock, RequestTracker};
 use ntex::http::{HttpServiceConfig, KeepAlive};
 use ntex::service::cfg::SharedCfg;
 use ntex::time::Seconds;
-use ntex::util::Bytes;
 use ntex::web::types::State;
 use ntex::web::{App, HttpRequest, HttpResponse, HttpServer};
 use ntex::{server::Server, web};
 use tokio::sync::oneshot;
 
+use crate::bounded_body::{BodyLimits, BoundedBody};
 use crate::caller_policy::{CallerPolicy, bearer_key};
 use crate::completions::{self, ApiKind};
 use crate::counters::Counters;
@@ -50,6 +52,7 @@
     workers: usize,
     connections_per_worker: usize,
     body_max_bytes: usize,
+    body_memory: ByteCount,
     head_max_bytes: usize,
     headers_max: usize,
     idle_timeout: Seconds,
@@ -64,6 +67,7 @@
             workers: to_usize(workers.get()),
             connections_per_worker: to_usize(per_worker),
             body_max_bytes: to_usize(limits.body_max.get()),
+            body_memory: limits.body_memory,
             head_max_bytes: to_usize(limits.head_max.get()),
             headers_max: to_usize(limits.headers_max.into()),
             idle_timeout: whole_seconds(limits.idle_timeout),
@@ -141,11 +145,14 @@
     server_limits: &ServerLimits,
     tls: Option<rustls::ServerConfig>,
 ) -> std::io::Result<Server> {
-    let body_max_bytes = server_limits.body_max_bytes;
+    let body_limits = BodyLimits {
+        budget: BodyBudget::new(server_limits.body_memory),
+        max_bytes: server_limits.body_max_bytes,
+    };
     let app = async move || {
         App::new()
             .state(context.clone())
-            .state(web::types::PayloadConfig::new(body_max_bytes))
+            .state(body_limits.clone())
             .service(web::resource("/v1/completions").route(web::post().to(complete)))
             .service(web::resource("/v1/chat/completions").route(web::post().to(chat)))
             .service(web::resource("/v1/generations/{generation}").route(web::get().to(resume)))
@@ -165,14 +172,32 @@
     Ok(server.run())
 }
 
-async fn complete(request: HttpRequest, body: Bytes, context: State<Context>) -> HttpResponse {
-    let answer = completions::complete(&context, &request, &body, ApiKind::Text);
-    context.track("completions", &request, answer).await
+async fn complete(
+    request: HttpRequest,
+    body: BoundedBody,
+    context: State<Context>,
+) -> HttpResponse {
+    generate("completions", &request, &body, &context, ApiKind::Text).await
 }
 
-async fn chat(request: HttpRequest, body: Bytes, context: State<Context>) -> HttpResponse {
-    let answer = completions::complete(&context, &request, &body, ApiKind::Chat);
-    context.track("chat", &request, answer).await
+async fn chat(request: HttpRequest, body: BoundedBody, context: State<Context>) -> HttpResponse {
+    generate("chat", &request, &body, &context, ApiKind::Chat).await
+}
+
+async fn generate(
+    route: &'static str,
+    request: &HttpRequest,
+    body: &BoundedBody,
+    context: &Context,
+    api_kind: ApiKind,
+) -> HttpResponse {
+    let answer = async {
+        match body.bytes() {
+            Ok(bytes) => completions::complete(context, request, bytes, api_kind).await,
+            Err(response) => response,
+        }
+    };
+    context.track(route, request, answer).await
 }
 
 async fn resume(request: HttpRequest, context: State<Context>) -> HttpResponse {
@@ -180,8 +205,13 @@
     context.track("resume", &request, answer).await
 }
 
-async fn call(request: HttpRequest, body: Bytes, context: State<Context>) -> HttpResponse {
-    let answer = services::call(&context, &request, &body);
+async fn call(request: HttpRequest, body: BoundedBody, context: State<Context>) -> HttpResponse {
+    let answer = async {
+        match body.bytes() {
+            Ok(bytes) => services::call(&context, &request, bytes).await,
+            Err(response) => response,
+        }
+    };
     context.track("services", &request, answer).await
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer_stream;
 mod attempt;
+mod bounded_body;
 mod caller_policy;
 mod callers;
 mod completions;
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -265,6 +265,7 @@
     range("limits.connections_max", connections_max.get(), 1, 1 << 20)?;
     Ok(Limits {
         body_max: ByteCount::new(body_max_bytes),
+        body_memory: ByteCount::new(settings.body_memory_kb * 1024),
         head_max: ByteCount::new(head_max_bytes),
         headers_max: settings.headers_max,
         connections_max,
--- a/crates/settings/src/generated.rs
+++ b/crates/settings/src/generated.rs
@@ -134,6 +134,9 @@
     ///Maximum size of a request body.
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 4194304>")]
     pub body_max_bytes: ::std::num::NonZeroU64,
+    ///Memory for the bodies of all requests together, in KB. A request that finds none is refused; a single one is always received.
+    #[serde(default = "defaults::default_u64::<u64, 32768>")]
+    pub body_memory_kb: u64,
     ///Maximum number of caller connections.
     #[serde(default = "defaults::default_nzu64::<::std::num::NonZeroU64, 8192>")]
     pub connections_max: ::std::num::NonZeroU64,
@@ -160,6 +163,7 @@
     fn default() -> Self {
         Self {
             body_max_bytes: defaults::default_nzu64::<::std::num::NonZeroU64, 4194304>(),
+            body_memory_kb: defaults::default_u64::<u64, 32768>(),
             connections_max: defaults::default_nzu64::<::std::num::NonZeroU64, 8192>(),
             head_max_bytes: defaults::default_u64::<u32, 32768>(),
             headers_max: defaults::default_u64::<u32, 96>(),
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -144,6 +144,8 @@
 pub struct Limits {
     /// Maximum size of a request body.
     pub body_max: ByteCount,
+    /// Memory for the bodies of all requests together.
+    pub body_memory: ByteCount,
     /// Maximum size of a request head.
     pub head_max: ByteCount,
     /// Maximum number of header fields of a request.
