Messages that agents, observers and peers receive share a limited memory

What callers saw: nothing yet; the same cause on the other listeners. A crowd of calls that don't end used up the memory of an agent or an observer.

Cause: gRPC listeners limit a message (4 MiB unless set), not the sum of those that are being received.

Change: a wrapper of the gRPC services (lentil-shell, bounded_grpc) counts what is received towards the process's budget, by the same rules as bodies; it refuses with resource_exhausted. Entries share it between callers and peers, agents between their two services (limits.body_memory_kb), observers have 8 MB and take messages of 256 KB at most, as theirs are small. A message counts until it is decoded; what waits then is bounded by admission. The tests' client ends a call that the peer has reset; crowd and bounds are as they were.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -8,8 +8,8 @@
 use lentil_core::{BootId, EndpointId};
 use lentil_settings::{AgentSettings, Process, Role, Settings};
 use lentil_shell::{
-    BoundedSender, Clock, Metrics, OperationsListener, PeerConnector, Readiness, SendError,
-    VerifyPeerKey, WorkerThread, bounded_channel, peer_server_tls, spawn_http, spawn_io,
+    BodyBudget, BoundedSender, Clock, Metrics, OperationsListener, PeerConnector, Readiness,
+    SendError, VerifyPeerKey, WorkerThread, bounded_channel, peer_server_tls, spawn_http, spawn_io,
 };
 use lentil_wire::v1::LoadReport;
 use tokio::sync::watch;
@@ -153,6 +153,7 @@
                     server,
                     key,
                     service,
+                    bodies: BodyBudget::new(process.limits.body_memory),
                 };
                 let work = peer::WorkSenders {
                     commands: commands.clone(),
--- a/crates/agent/src/peer.rs
+++ b/crates/agent/src/peer.rs
@@ -6,7 +6,10 @@
 use futures_util::{Stream, StreamExt};
 use lentil_control::{ControlView, PeerService};
 use lentil_core::{AttemptId, BootId, Outcome, Refusal, RefusalReason, TokenIndex, ZoneId};
-use lentil_shell::{BoundedReceiver, BoundedSender, SendError, VerifyPeerKey, bounded_channel};
+use lentil_shell::{
+    BodyBudget, BoundedGrpc, BoundedReceiver, BoundedSender, SendError, VerifyPeerKey,
+    bounded_channel,
+};
 use lentil_wire::v1::agent_server::{Agent, AgentServer};
 use lentil_wire::{WireError, v1};
 use tokio::sync::{oneshot, watch};
@@ -50,6 +53,8 @@
     pub(crate) server: Server,
     pub(crate) key: VerifyPeerKey,
     pub(crate) service: PeerService,
+    /// The memory for requests that are being received.
+    pub(crate) bodies: BodyBudget,
 }
 
 struct Service {
@@ -105,8 +110,14 @@
     let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
     let mut server = peers.server;
     let served = server
-        .add_service(AgentServer::with_interceptor(service, peers.key.clone()))
-        .add_service(peers.service.into_server(peers.key))
+        .add_service(BoundedGrpc::new(
+            AgentServer::with_interceptor(service, peers.key.clone()),
+            peers.bodies.clone(),
+        ))
+        .add_service(BoundedGrpc::new(
+            peers.service.into_server(peers.key),
+            peers.bodies,
+        ))
         .serve_with_incoming_shutdown(incoming, async move {
             let _ = stopping.wait_for(|stop| *stop).await;
         })
--- a/crates/control/src/peer.rs
+++ b/crates/control/src/peer.rs
@@ -4,7 +4,7 @@
 
 use lentil_config::{Digest, Exchange, Update};
 use lentil_core::{ConfigVersion, Offset};
-use lentil_shell::{BoundedSender, VerifyPeerKey};
+use lentil_shell::{BodyBudget, BoundedGrpc, BoundedSender, VerifyPeerKey};
 use lentil_wire::v1;
 use lentil_wire::v1::peer_server::{self, Peer};
 use tokio::sync::{oneshot, watch};
@@ -73,6 +73,8 @@
     pub key: VerifyPeerKey,
     /// TLS settings, or `None` to serve without TLS.
     pub tls: Option<ServerTlsConfig>,
+    /// The memory for requests that are being received.
+    pub bodies: BodyBudget,
 }
 
 impl PeerServer {
@@ -94,7 +96,10 @@
             server = server.tls_config(tls)?;
         }
         server
-            .add_service(self.service.into_server(self.key))
+            .add_service(BoundedGrpc::new(
+                self.service.into_server(self.key),
+                self.bodies,
+            ))
             .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
                 let _ = stopping.wait_for(|stop| *stop).await;
             })
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -4,9 +4,7 @@
 use std::num::NonZeroU64;
 use std::sync::Arc;
 
-use lentil_core::{
-    AttemptId, ByteCount, EndpointId, OrganisationId, Permille, Refusal, RefusalReason, Span,
-};
+use lentil_core::{AttemptId, EndpointId, OrganisationId, Permille, Refusal, RefusalReason, Span};
 use lentil_settings::Process;
 use lentil_shell::{BodyBudget, BoundedSender, Clock, RequestTracker};
 use ntex::http::{HttpServiceConfig, KeepAlive};
@@ -52,7 +50,7 @@
     workers: usize,
     connections_per_worker: usize,
     body_max_bytes: usize,
-    body_memory: ByteCount,
+    bodies: BodyBudget,
     head_max_bytes: usize,
     headers_max: usize,
     idle_timeout: Seconds,
@@ -60,14 +58,14 @@
 }
 
 impl ServerLimits {
-    pub(crate) fn new(process: &Process, workers: NonZeroU64) -> Self {
+    pub(crate) fn new(process: &Process, workers: NonZeroU64, bodies: BodyBudget) -> Self {
         let limits = &process.limits;
         let per_worker = limits.connections_max.get().div_ceil(workers.get());
         Self {
             workers: to_usize(workers.get()),
             connections_per_worker: to_usize(per_worker),
             body_max_bytes: to_usize(limits.body_max.get()),
-            body_memory: limits.body_memory,
+            bodies,
             head_max_bytes: to_usize(limits.head_max.get()),
             headers_max: to_usize(limits.headers_max.into()),
             idle_timeout: whole_seconds(limits.idle_timeout),
@@ -146,7 +144,7 @@
     tls: Option<rustls::ServerConfig>,
 ) -> std::io::Result<Server> {
     let body_limits = BodyLimits {
-        budget: BodyBudget::new(server_limits.body_memory),
+        budget: server_limits.bodies.clone(),
         max_bytes: server_limits.body_max_bytes,
     };
     let app = async move || {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -7,8 +7,9 @@
 use lentil_core::{ParseIdError, Span};
 use lentil_settings::{Process, Role, Settings};
 use lentil_shell::{
-    Clock, Metrics, OperationsListener, PeerConnector, Readiness, RequestTracker, VerifyPeerKey,
-    WorkerThread, bounded_channel, listener_tls, peer_server_tls, spawn_http, spawn_io,
+    BodyBudget, Clock, Metrics, OperationsListener, PeerConnector, Readiness, RequestTracker,
+    VerifyPeerKey, WorkerThread, bounded_channel, listener_tls, peer_server_tls, spawn_http,
+    spawn_io,
 };
 use ntex::server::Server;
 use tokio::sync::{oneshot, watch};
@@ -80,10 +81,12 @@
             linker: PeerConnector::new(&process.security)?,
         })?;
         let leaving = watch::Sender::new(false);
+        let bodies = BodyBudget::new(process.limits.body_memory);
         let server = PeerServer {
             service: control.peer_service(),
             key: VerifyPeerKey::new(process.security.peer_key.clone()),
             tls: peer_server_tls(&process.security)?,
+            bodies: bodies.clone(),
         };
         spawn_io("peers", {
             let leaving = leaving.subscribe();
@@ -114,7 +117,7 @@
             deadline_ms: section.deadline.as_ms(),
             trace_sampling: process.trace.sample,
         };
-        let server_limits = ServerLimits::new(&process, section.workers);
+        let server_limits = ServerLimits::new(&process, section.workers, bodies);
         let tls = listener_tls(&process.security)?;
         let (stop, stopping) = oneshot::channel();
         let grace = process.grace;
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -9,9 +9,9 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::BoxStream;
-use lentil_core::Time;
+use lentil_core::{ByteCount, Time};
 use lentil_fleet::{EngineReport, EngineStage};
-use lentil_shell::{BootClock, ThreadError, WorkerThread, spawn_io};
+use lentil_shell::{BodyBudget, BootClock, BoundedGrpc, ThreadError, WorkerThread, spawn_io};
 use lentil_wire::v1;
 use lentil_wire::v1::observer_server::{Observer as ObserverService, ObserverServer};
 use thiserror::Error;
@@ -37,6 +37,10 @@
 /// Longest time between two reports.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Longest request of a gateway. The largest are reports of all crashes that it knows of.
+const MESSAGE_MAX_BYTES: usize = 256 * 1024;
+/// Memory for all requests that are being received.
+const MESSAGES_MEMORY: ByteCount = ByteCount::new(8 * 1024 * 1024);
 /// Longest time that a gateway may hold the engine's link.
 const LINK_HOLD_MAX: Duration = Duration::from_millis(1_000);
 
@@ -212,7 +216,10 @@
         .tcp_nodelay(true)
         .http2_keepalive_interval(Some(Duration::from_secs(2)))
         .http2_keepalive_timeout(Some(Duration::from_secs(2)))
-        .add_service(ObserverServer::new(service))
+        .add_service(BoundedGrpc::new(
+            ObserverServer::new(service).max_decoding_message_size(MESSAGE_MAX_BYTES),
+            BodyBudget::new(MESSAGES_MEMORY),
+        ))
         .serve_with_incoming(TcpListenerStream::new(listener));
     if let Err(error) = served.await {
         log::error!("serving gateways failed: {error}");
--- a/crates/lentiltray/tests/it/raw_grpc.rs
+++ b/crates/lentiltray/tests/it/raw_grpc.rs
@@ -3,10 +3,11 @@
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const DATA: u8 = 0;
 const HEADERS: u8 = 1;
+const RESET_STREAM: u8 = 3;
 const SETTINGS: u8 = 4;
 const PING: u8 = 6;
 const WINDOW_UPDATE: u8 = 8;
@@ -80,19 +81,31 @@
     pub(crate) fn send(&mut self, id: u32, bytes: &[u8]) {
         for part in bytes.chunks(FRAME_MAX_BYTES) {
             let length = i64::try_from(part.len()).unwrap();
-            while self.connection_window < length || self.stream_windows[&id] < length {
-                if !self.read_frame() {
+            let give_up_at = Instant::now() + WINDOW_TIMEOUT;
+            while self.has_window(id) == Some(false) {
+                if Instant::now() > give_up_at || !self.read_frame() {
                     return;
                 }
             }
+            // The peer may have ended the call.
+            let Some(window) = self.stream_windows.get_mut(&id) else {
+                return;
+            };
+            *window -= length;
+            self.connection_window -= length;
             if self.send_frame(DATA, 0, id, part).is_err() {
                 return;
             }
-            self.connection_window -= length;
-            *self.stream_windows.get_mut(&id).unwrap() -= length;
         }
     }
 
+    /// Returns whether a whole frame may be sent, or `None` if the peer has ended the call.
+    fn has_window(&self, id: u32) -> Option<bool> {
+        let frame = i64::try_from(FRAME_MAX_BYTES).unwrap();
+        let window = *self.stream_windows.get(&id)?;
+        Some(window >= frame && self.connection_window >= frame)
+    }
+
     fn send_frame(&mut self, kind: u8, flags: u8, id: u32, payload: &[u8]) -> std::io::Result<()> {
         let length = u32::try_from(payload.len()).unwrap().to_be_bytes();
         let head = [&length[1..], &[kind, flags], &id.to_be_bytes()[..]].concat();
@@ -127,6 +140,7 @@
                 }
                 drop(self.send_frame(SETTINGS, ACK, 0, &[]));
             }
+            RESET_STREAM => drop(self.stream_windows.remove(&id)),
             PING if flags & ACK == 0 => drop(self.send_frame(PING, ACK, 0, &payload)),
             _ => {}
         }
--- a/crates/shell/src/body_budget.rs
+++ b/crates/shell/src/body_budget.rs
@@ -85,21 +85,30 @@
     /// Returns an empty buffer for a body of at most `max_bytes`.
     #[must_use]
     pub fn buffer(&self, max_bytes: usize) -> BodyBuffer {
-        let number = {
-            let mut state = self.state();
-            state.next_number += 1;
-            state.next_number
-        };
         BodyBuffer {
             bytes: Vec::new(),
             max_bytes,
-            reservation: Reservation {
-                budget: self.clone(),
-                number,
-                held_bytes: 0,
-                stage: Stage::Uncounted,
-                evicted: Arc::default(),
-            },
+            reservation: self.reservation(),
+        }
+    }
+
+    /// Returns the memory of a message that another library buffers.
+    pub(crate) fn message(&self) -> MessageMemory {
+        MessageMemory {
+            received_bytes: 0,
+            reservation: self.reservation(),
+        }
+    }
+
+    fn reservation(&self) -> Reservation {
+        let mut state = self.state();
+        state.next_number += 1;
+        Reservation {
+            budget: self.clone(),
+            number: state.next_number,
+            held_bytes: 0,
+            stage: Stage::Uncounted,
+            evicted: Arc::default(),
         }
     }
 
@@ -223,6 +232,31 @@
     reservation: Reservation,
 }
 
+/// The memory of a message while another library receives it.
+#[derive(Debug)]
+pub(crate) struct MessageMemory {
+    received_bytes: usize,
+    reservation: Reservation,
+}
+
+impl MessageMemory {
+    /// Counts received bytes. Waits if others have to give way first.
+    pub(crate) async fn add(&mut self, bytes: usize) -> Result<(), BodyRefused> {
+        self.received_bytes += bytes;
+        let is_counted = self.received_bytes > UNCOUNTED_BYTES;
+        if !is_counted || self.received_bytes <= self.reservation.held_bytes {
+            return Ok(());
+        }
+        let held_bytes = self.received_bytes.next_multiple_of(READ_BUFFER_BYTES);
+        self.reservation.grow_to(held_bytes).await
+    }
+
+    /// Returns once this message has to give way.
+    pub(crate) async fn evicted(&self) {
+        self.reservation.evicted.notified().await;
+    }
+}
+
 /// A complete body with its reservation.
 struct CompleteBody {
     bytes: Vec<u8>,
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -3,6 +3,7 @@
 //! operations listener and signal handling.
 
 mod body_budget;
+mod bounded_grpc;
 mod channel;
 mod clock;
 mod keys;
@@ -19,6 +20,7 @@
 mod trace;
 
 pub use body_budget::{BodyBudget, BodyBuffer, BodyRefused};
+pub use bounded_grpc::BoundedGrpc;
 pub use channel::{BoundedReceiver, BoundedSender, SendError, bounded_channel};
 pub use clock::{BootClock, Clock};
 pub use keys::{bearer_matches, bearer_value};
