Test that no part of an answer whose head is cut reaches a caller

A report of other operators: an endpoint stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. Can't happen here: a head without its end is a lost answer, at gateways and at agents; only a complete head opens a response.

Shown by answer_heads, over three framings, nine places and all kinds of routes at gateways, and through entry and agent. Both tests pass. With a lost answer taken for an empty one at the gateway's client, gateway_answer_stops_in_head fails (200, Length, /confirm/a, after 0 bytes).

--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -7,6 +7,7 @@
     clippy::unwrap_used
 )]
 
+mod answer_heads;
 mod bad_requests;
 mod broken_resumes;
 mod caller;
