A stopping gateway cut requests that came late in its grace time

In a planned stop, requests that came late were passed on and cut without an answer at the end of the grace time, also such that may not be repeated (LOST).

Cause: requests were admitted and ran with their callers' deadlines; only the thread that waits for the end of the grace time knew of it.

Change: the plan of the stop is known where requests are admitted. Streams that would begin after the listener has closed, and calls whose target latency no longer fits, are refused at once, not run. What has no answer 700 ms before the end of the grace time gets its last one: 502 if an endpoint may have run it, else 503.

Why it works: no request is passed on that is expected to outlive the process, and the others are answered by a timer that ends before the exit.

Measured: planned_stop::late_request_is_answered and late_end_of_request_is_refused failed before (cut; 502 from an endpoint that got it) and pass; planned_stop, graceful_stop and stop_signals pass (14).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,7 +17,7 @@
     RetryBudget, RetryBudgetConfig,
 };
 use lentil_shell::BootClock;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use crate::attempt::Job;
@@ -87,6 +87,15 @@
     pub metrics: GatewayMetrics,
 }
 
+/// When a gateway that was told to stop ends its work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopPlan {
+    /// When it stops accepting connections.
+    pub closes_at: Time,
+    /// When requests that are still running get their last answer.
+    pub last_answers_at: Time,
+}
+
 /// The state of one gateway, owned by the thread that serves callers.
 pub struct Gateway {
     name: String,
@@ -106,6 +115,7 @@
     /// Engines whose observers all gateways follow.
     common_engines: RefCell<Vec<EndpointId>>,
     pub(crate) response_buffers: ResponseBuffers,
+    stop_plan: watch::Sender<Option<StopPlan>>,
 }
 
 impl std::fmt::Debug for Gateway {
@@ -170,6 +180,7 @@
             readiness: Cell::default(),
             common_engines: RefCell::default(),
             response_buffers: ResponseBuffers::default(),
+            stop_plan: watch::Sender::new(None),
         })
     }
 
@@ -207,10 +218,34 @@
     }
 
     /// Marks the gateway as stopping, so that it is no longer ready.
-    pub fn stop(&self) {
+    pub fn stop(&self, plan: StopPlan) {
+        self.stop_plan.send_replace(Some(plan));
         self.update_readiness(|readiness| readiness.stopping = true);
     }
 
+    /// Returns whether a request that begins now can be expected to end before the gateway
+    /// does. A stream that begins late would be cut.
+    pub(crate) fn ends_before_stop(&self, now: Time, route: &Route) -> bool {
+        let plan = *self.stop_plan.borrow();
+        plan.is_none_or(|plan| {
+            if is_stream(route) {
+                return !plan.closes_at.has_passed(now);
+            }
+            now + route.target_latency <= plan.last_answers_at
+        })
+    }
+
+    /// Returns when requests that are still running must get their last answer.
+    pub(crate) async fn last_answers_due(&self) {
+        let mut plans = self.stop_plan.subscribe();
+        let plan = plans.wait_for(Option::is_some).await;
+        let due = plan.ok().and_then(|plan| *plan);
+        match due {
+            Some(plan) => tokio::time::sleep_until(self.instant(plan.last_answers_at)).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Returns the active configuration, if one has been read.
     #[must_use]
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,7 +47,7 @@
     Reply, Resume, SendError,
 };
 pub use events::{Event, EventSplitter, SplitError};
-pub use gateway::{Gateway, GatewayBounds, GatewayOptions};
+pub use gateway::{Gateway, GatewayBounds, GatewayOptions, StopPlan};
 pub use hop_by_hop::strip_hop_by_hop;
 pub use listener::{BodyError, Connections, Handler, read_body, serve};
 pub use metrics::{GatewayMetrics, MetricsSource, ObserverMetrics};
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -93,21 +93,9 @@
             job.log_outcome(&self, &refusal.to_string());
             return GatewayResponse::Refused(refusal);
         }
-        let deadline = self.instant(job.deadline);
-        let served = match job.route.kind {
-            RouteKind::Streaming => {
-                let served = relay::serve_stream(Rc::clone(&self), Rc::clone(&job));
-                tokio::time::timeout_at(deadline, served).await
-            }
-            RouteKind::Idempotent | RouteKind::NonIdempotent => {
-                let served = self.serve_buffered(&job);
-                tokio::time::timeout_at(deadline, served).await
-            }
-        };
-        let refusal = match served {
-            Ok(Ok(response)) => return response,
-            Ok(Err(refusal)) => refusal,
-            Err(_) => job.refuse(RefusalReason::DeadlineExceeded, None),
+        let refusal = match self.serve_in_time(&job).await {
+            Ok(response) => return response,
+            Err(refusal) => refusal,
         };
         self.metrics.count_request(match refusal.outcome() {
             Outcome::NotRun => "refused",
@@ -117,6 +105,26 @@
         GatewayResponse::Refused(refusal)
     }
 
+    /// Serves a request until its deadline, or until the gateway stops.
+    async fn serve_in_time(self: &Rc<Self>, job: &Rc<Job>) -> Result<GatewayResponse, Refusal> {
+        if !self.ends_before_stop(self.now(), &job.route) {
+            return Err(job.refuse(RefusalReason::Stopping, None));
+        }
+        let deadline = self.instant(job.deadline);
+        let served = async {
+            match job.route.kind {
+                RouteKind::Streaming => relay::serve_stream(Rc::clone(self), Rc::clone(job)).await,
+                RouteKind::Idempotent | RouteKind::NonIdempotent => self.serve_buffered(job).await,
+            }
+        };
+        tokio::select! {
+            served = tokio::time::timeout_at(deadline, served) => {
+                served.unwrap_or_else(|_| Err(job.refuse(RefusalReason::DeadlineExceeded, None)))
+            }
+            () = self.last_answers_due() => Err(job.refuse(RefusalReason::Stopping, None)),
+        }
+    }
+
     pub(crate) fn version(&self) -> ConfigVersion {
         self.active_config.borrow().version()
     }
--- a/crates/lentiltray/src/command/gateway.rs
+++ b/crates/lentiltray/src/command/gateway.rs
@@ -17,7 +17,7 @@
 use lentil_gateway::{
     ConnectionPool, Connections, ControlOptions, ControlSources, ControlThread, Gateway,
     GatewayBounds, GatewayMetrics, GatewayOptions, Handler, RelayDirectory, RelayedLog,
-    ShutdownStage, serve,
+    ShutdownStage, StopPlan, serve,
 };
 use lentil_settings::{Node, NodeRole};
 use lentil_shell::{BodyBudget, BootClock, SignalAction, StopSignals, spawn_io};
@@ -38,6 +38,8 @@
 const BALANCER_DRAIN_DELAY: Duration = Duration::from_millis(2_300);
 /// How long before the end of the grace period the process exits by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// How long before that the last answers are sent.
+const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(300);
 /// Time after the last failed request to the store within which records that expired are
 /// back: the platform promises about two seconds, and the topic is read every 0.7 s. Three
 /// seconds after the store served it again, a gateway must know each removal.
@@ -229,7 +231,11 @@
     log::info!(name = node.name.as_str(), connections_drain_ms = BALANCER_DRAIN_DELAY.as_millis(); "gateway is stopping");
     let deadline =
         tokio::time::Instant::now() + Duration::from(settings.grace).saturating_sub(EXIT_MARGIN);
-    gateway.stop();
+    let now = clock.now();
+    gateway.stop(StopPlan {
+        closes_at: now + span(BALANCER_DRAIN_DELAY),
+        last_answers_at: now + settings.grace - span(EXIT_MARGIN) - span(LAST_ANSWER_MARGIN),
+    });
     stage.send_replace(ShutdownStage::Draining);
     tokio::time::sleep(BALANCER_DRAIN_DELAY).await;
     stage.send_replace(ShutdownStage::Closing);
@@ -240,6 +246,10 @@
     std::process::exit(0);
 }
 
+fn span(duration: Duration) -> Span {
+    Span::from_us(u64::try_from(duration.as_micros()).unwrap_or(u64::MAX))
+}
+
 /// Reloads the settings and logs whether they changed. Changes take effect only
 /// after a restart.
 fn reload(path: &std::path::Path, node: &Node) {
--- a/crates/lentiltray/tests/it/planned_stop.rs
+++ b/crates/lentiltray/tests/it/planned_stop.rs
@@ -173,3 +173,63 @@
     }
     assert_eq!(site.gateway.wait().code(), Some(0));
 }
+
+/// Time for which a gateway may run after it was told to stop.
+const SHORT_GRACE_MS: u64 = 4_000;
+
+/// A request that comes before the gateway closes its listener, to an endpoint that is not
+/// done with it when the grace time ends, still gets an answer.
+#[test]
+fn late_request_is_answered() {
+    let desk = Replica::start("i-1", |_, _| {
+        std::thread::sleep(Duration::from_secs(20));
+        crate::fake_http::ConnectionAction::Close
+    });
+    let bounds = format!("grace_ms: {SHORT_GRACE_MS}");
+    let mut site = Site::start_bounded("stop_late", &[(&desk, "desk")], 1, &bounds);
+    site.gateway.terminate();
+    site.gateway.wait_for_line("gateway is stopping");
+    std::thread::sleep(Duration::from_millis(1_800));
+    let mut connections = ["/confirm/a", "/lookup/a"].map(|target| {
+        let mut connection = site.connect();
+        let head = request_head(target, target, "");
+        connection.send(&head, "hello");
+        connection
+    });
+    for connection in &mut connections {
+        let response = connection.receive().expect("the request was cut");
+        assert!(response.complete);
+        // An endpoint has it, so nothing is promised.
+        assert_eq!(response.status, 502);
+    }
+    assert_eq!(site.gateway.wait().code(), Some(0));
+}
+
+/// A request whose end arrives late in the grace time is refused, and does not run, if it
+/// can't be expected to end before the gateway does.
+#[test]
+fn late_end_of_request_is_refused() {
+    let desk = Replica::start("i-1", respond_ok);
+    let engine = Replica::start("i-2", respond_ok);
+    let endpoints = [(&desk, "desk"), (&engine, "writers")];
+    let bounds = format!("grace_ms: {SHORT_GRACE_MS}");
+    let mut site = Site::start_bounded("stop_late_end", &endpoints, 1, &bounds);
+    let mut connections = ["/patient/a", "/report/a"].map(|target| {
+        let mut connection = site.connect();
+        let head = request_head(target, target, "").replace('\n', "\r\n");
+        let head = head.replace("Deadline-Ms: 2500", "Deadline-Ms: 60000");
+        connection.send_bytes(format!("{head}\r\nContent-Length: 5\r\n\r\nhel").as_bytes());
+        connection
+    });
+    site.gateway.terminate();
+    site.gateway.wait_for_line("gateway is stopping");
+    std::thread::sleep(Duration::from_millis(2_700));
+    for connection in &mut connections {
+        connection.send_bytes(b"lo");
+        let response = connection.receive().expect("the request was cut");
+        assert_eq!(response.status, 503);
+        assert!(response.header("retry-after").is_some());
+    }
+    assert_eq!(site.gateway.wait().code(), Some(0));
+    assert!(engine.requests().is_empty());
+}
