An agent goes by the rest that its endpoint asks for

An endpoint beside an agent that had answered 503 with Retry-After got the next calls at once.

Cause: the agent passed the answer on and did not read the header.

Change: an agent starts nothing until the time is over, and refuses what it would have started as overloaded, not run, with the rest of the time.

Measured: endpoint_rest::endpoint_beside_agent_rests failed before (the second call was answered 503 by the endpoint) and passes; endpoint_rest, keyed_calls, service_crash and killed_executor pass (20).

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -1,10 +1,12 @@
 //! The admission thread, which decides which request starts at the endpoint and when.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::ControlFlow;
 use std::sync::mpsc::SyncSender;
 
-use lentil_core::{AttemptId, EndpointState, GenerationId, RefusalReason, Span, Time, TokenCount};
+use lentil_core::{
+    AttemptId, EndpointState, GenerationId, RefusalReason, RetryAfter, Span, Time, TokenCount,
+};
 use lentil_settings::{AgentSettings, EndpointKind};
 use lentil_shell::{BoundedReceiver, BoundedSender};
 use lentil_wire::v1;
@@ -54,6 +56,8 @@
     },
     /// The endpoint finished a request, successfully or not.
     Finished { attempt: AttemptId, succeeded: bool },
+    /// The endpoint turned a call away and wants no more for a while.
+    Rest { retry_after: RetryAfter },
     /// The state of the engine changed or was refreshed.
     Engine(EngineUpdate),
     /// An entry subscribes to load reports.
@@ -145,6 +149,8 @@
     waiting: BTreeMap<AttemptId, QueuedWork>,
     generations: u64,
     draining: Option<SyncSender<()>>,
+    /// Until when the endpoint wants no requests.
+    rest_until: Time,
     /// The current load, which replies carry.
     current: watch::Sender<v1::LoadReport>,
     /// The load as last pushed to entries.
@@ -172,6 +178,7 @@
         waiting: BTreeMap::new(),
         generations: 0,
         draining: None,
+        rest_until: Time::ZERO,
     };
     if settings.kind == EndpointKind::Service {
         let now = admission.identity.clock.now();
@@ -211,6 +218,10 @@
                 let decisions = self.policy.on_ended(now, attempt, succeeded);
                 self.apply_decisions(now, decisions);
             }
+            Command::Rest { retry_after } => {
+                log::info!(endpoint:% = self.identity.endpoint, retry_after:% = retry_after; "endpoint asked for no requests");
+                self.rest_until = self.rest_until.max(now + retry_after.span());
+            }
             Command::Engine(update) => self.on_engine_update(now, update),
             Command::Watch { reports } => {
                 let _ = reports.send(self.reports.subscribe());
@@ -297,12 +308,20 @@
     }
 
     fn apply_decisions(&mut self, now: Time, decisions: Vec<Decision>) {
-        for decision in decisions {
+        let mut decisions = VecDeque::from(decisions);
+        while let Some(decision) = decisions.pop_front() {
             match decision {
                 Decision::Start(attempt) => {
-                    if let Some(work) = self.waiting.remove(&attempt) {
+                    let Some(work) = self.waiting.remove(&attempt) else {
+                        continue;
+                    };
+                    if self.rest_until.has_passed(now) {
                         self.start(work);
+                        continue;
                     }
+                    let rest = self.rest_until.since(now);
+                    work.refuse(RefusalReason::Overloaded, Some(rest));
+                    decisions.extend(self.policy.on_ended(now, attempt, false));
                 }
                 Decision::Refuse {
                     attempt,
--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -2,11 +2,11 @@
 
 use std::rc::Rc;
 
-use lentil_core::{Refusal, RefusalReason};
+use lentil_core::{Refusal, RefusalReason, RetryAfter};
 use lentil_shell::TraceSpan;
 use lentil_wire::v1;
 use ntex::client::ClientResponse;
-use ntex::http::Method;
+use ntex::http::{Method, StatusCode};
 use tokio::sync::oneshot;
 
 use crate::admission::Command;
@@ -27,6 +27,16 @@
     ntex::rt::spawn(async move {
         let attempt = call.attempt;
         let answer = send_call(&endpoint, &call).await;
+        let answer = match answer {
+            Ok((answer, Some(retry_after))) => {
+                // Before the reply, so that the next call meets it.
+                let rest = Command::Rest { retry_after };
+                let _ = endpoint.commands.send(rest).await;
+                Ok(answer)
+            }
+            Ok((answer, None)) => Ok(answer),
+            Err(error) => Err(error),
+        };
         let succeeded = answer.is_ok();
         endpoint.counters.call_ended(match &answer {
             Ok(_) => "answered",
@@ -55,7 +65,11 @@
     });
 }
 
-async fn send_call(endpoint: &Endpoint, call: &ServiceCall) -> Result<v1::Answer, EngineError> {
+/// Returns the answer, and how long the endpoint wants no calls if it says so.
+async fn send_call(
+    endpoint: &Endpoint,
+    call: &ServiceCall,
+) -> Result<(v1::Answer, Option<RetryAfter>), EngineError> {
     let span = TraceSpan::from_traceparent("endpoint", &call.traceparent);
     let method = Method::from_bytes(call.method.as_bytes())
         .map_err(|error| EngineError::Connect(error.to_string()))?;
@@ -77,7 +91,21 @@
         .send_body(call.body.clone())
         .await
         .map_err(|error| EngineError::from(&error))?;
-    read_answer(response).await
+    let retry_after = retry_after(&response);
+    Ok((read_answer(response).await?, retry_after))
+}
+
+/// Returns how long an endpoint that turns a call away wants no more.
+fn retry_after(response: &ClientResponse) -> Option<RetryAfter> {
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let text = response.headers().get("retry-after")?.to_str().ok()?;
+    text.parse()
+        .inspect_err(
+            |error| log::info!(text = text; "ignored the Retry-After of the endpoint: {error}"),
+        )
+        .ok()
 }
 
 async fn read_answer(response: ClientResponse) -> Result<v1::Answer, EngineError> {
--- a/crates/lentiltray/tests/it/endpoint_rest.rs
+++ b/crates/lentiltray/tests/it/endpoint_rest.rs
@@ -5,11 +5,15 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use crate::fake_http::{ConnectionAction, Framing, Request};
+use lentil_site::{Site as ProductSite, SiteOptions};
+
+use crate::caller::{Caller, block_on};
+use crate::fake_http::{ConnectionAction, Framing, Request, Server};
 use crate::gateway_harness::{
     Replica, Site, request_head, respond_ok, service_of, signature_headers, wait_until,
     write_response,
 };
+use crate::keyed_calls::{confirm, confirm_once};
 
 /// Number of requests sent after an endpoint has asked for none.
 const REQUESTS: usize = 20;
@@ -277,3 +281,37 @@
     }
     assert_eq!(resting.requests().len(), 1);
 }
+
+/// The endpoint beside an agent wants no calls for a while, and gets none.
+#[test]
+fn endpoint_beside_agent_rests() {
+    let received = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&received);
+    let endpoint = Server::start(Arc::new(move |_: &Request, stream: &mut TcpStream| {
+        count.fetch_add(1, Ordering::SeqCst);
+        write_response(
+            stream,
+            &Framing::Length.response(503, "Retry-After: 600\r\n", "{}"),
+        )
+    }));
+    let options = SiteOptions {
+        services: 0,
+        ..SiteOptions::default()
+    };
+    let site = ProductSite::start(options).unwrap();
+    let agent = site.start_service_agent(0, endpoint.address).unwrap();
+    let entry = site.entries[0].address();
+    block_on(async move {
+        let caller = Caller::new().await;
+        let first = confirm(&caller, entry, "pickup-first", "bin").await;
+        assert_eq!(first.status, 503, "{first:?}");
+        for number in 0..REQUESTS {
+            let key = format!("pickup-{number}");
+            let answer = confirm_once(&caller, entry, &key, "bin").await;
+            assert_eq!(answer.body["outcome"], "not_run", "{answer:?}");
+        }
+    });
+    assert_eq!(received.load(Ordering::SeqCst), 1);
+    agent.stop().unwrap();
+    site.stop().unwrap();
+}
--- a/crates/lentiltray/tests/it/keyed_calls.rs
+++ b/crates/lentiltray/tests/it/keyed_calls.rs
@@ -21,7 +21,13 @@
     pub(crate) body: Value,
 }
 
-async fn confirm_once(caller: &Caller, entry: SocketAddr, key: &str, body: &str) -> Answer {
+/// Sends a confirmation once.
+pub(crate) async fn confirm_once(
+    caller: &Caller,
+    entry: SocketAddr,
+    key: &str,
+    body: &str,
+) -> Answer {
     let response = caller
         .client
         .post(format!("http://{entry}/services/{SERVICE}/confirm"))
