--- a/review/fakes2.py
+++ b/review/fakes2.py
@@ -7,9 +7,11 @@
 import json
 import os
 import re
+import signal
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -138,6 +140,19 @@
             except OSError:
                 pass
 
+    def reset(self):
+        """Ends; connections are closed as their sockets' options say."""
+        self.ended = True
+        self.listener.close()
+        with self.lock:
+            open_connections = list(self.connections)
+        for connection in open_connections:
+            try:
+                # Ends the reader that shares the socket, then the socket itself.
+                os.close(connection.detach())
+            except OSError:
+                pass
+
     def crash(self):
         """Ends like a killed process: nothing more is answered or accepted."""
         self.ended = True
@@ -462,6 +477,8 @@
     """Runs `case(record, trouble)`, which returns what broke the rule. Ends with the status that
     the review asks for: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # A script that is told to end still ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder)
     record.line(f"TROUBLE={int(trouble)}")
     try:
