Record how the bodies of streams end

Cause: neither log nor metrics tell how the end of a stream's body was marked, nor what an order to stop the run came to before, so that a stream that is complete can't be told from one that was stopped.

Change: the client tells whether a body is delimited by a length or chunks or read until its connection closes. A counter by framing and end, and a note in the trail of a request whose body ends after an order to stop it. No decision changes.

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -9,6 +9,7 @@
 use lentil_catalog::PriorityLevel;
 use lentil_core::{EndpointId, OrganisationId, RequestRate, RetryAfter, Span, Time};
 use lentil_fleet::{EngineReport, LoadNotice};
+use lentil_handoff::BodyFraming;
 use thiserror::Error;
 
 use crate::LocalFuture;
@@ -90,6 +91,8 @@
     /// How long the endpoint wants no requests from this gateway, if it turned the request
     /// away and says so.
     pub retry_after: Option<RetryAfter>,
+    /// How the end of the body is marked.
+    pub framing: BodyFraming,
     /// The body. Dropping it cancels the request.
     pub body: LocalBoxStream<'static, Result<Bytes, BodyInterrupted>>,
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,6 +61,7 @@
 pub use events::{Event, EventSplitter, SplitError};
 pub use gateway::{Gateway, GatewayBounds, GatewayOptions, StopPlan};
 pub use hop_by_hop::strip_hop_by_hop;
+pub use lentil_handoff::BodyFraming;
 pub use listener::{BodyError, Connections, Handler, read_body, serve};
 pub use metrics::{GatewayMetrics, MetricsSource, ObserverMetrics};
 pub use observer::{Observer, ObserverError, ObserverOptions, ObserverSources};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 
 use lentil_catalog::PriorityLevel;
 use lentil_core::Span;
+use lentil_handoff::BodyFraming;
 use lentil_rollout::Stage;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -39,6 +40,13 @@
     pub(crate) step: &'static str,
 }
 
+/// Labels of the counter of ended stream bodies.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct BodyEndLabels {
+    framing: String,
+    end: &'static str,
+}
+
 /// Labels of the number of waiting requests.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct QueuedLabels {
@@ -98,6 +106,7 @@
     pub(crate) requests: Family<RequestLabels, Counter>,
     pub(crate) moves: Family<MoveLabels, Counter>,
     pub(crate) backups: Family<MoveLabels, Counter>,
+    body_ends: Family<BodyEndLabels, Counter>,
     pub(crate) retries: Counter,
     pub(crate) waiting: Gauge,
     queued: Family<QueuedLabels, Gauge>,
@@ -124,6 +133,7 @@
         let requests = Family::default();
         let moves = Family::default();
         let backups = Family::default();
+        let body_ends = Family::default();
         let retries = Counter::default();
         let waiting = Gauge::default();
         let queued = Family::default();
@@ -145,6 +155,11 @@
             "Backup engines of generations: named, used, refused and freed copies",
             backups.clone(),
         );
+        registry.register(
+            "body_ends",
+            "Ends of the bodies of streams, by framing and by whether they were whole",
+            body_ends.clone(),
+        );
         registry.register("repeats", "Requests sent once more", retries.clone());
         registry.register("waiting", "Requests that wait for a place", waiting.clone());
         registry.register(
@@ -191,6 +206,7 @@
             requests,
             moves,
             backups,
+            body_ends,
             retries,
             waiting,
             queued,
@@ -216,6 +232,13 @@
         self.backups.get_or_create(&MoveLabels { step }).inc();
     }
 
+    pub(crate) fn count_body_end(&self, framing: BodyFraming, end: &'static str) {
+        let framing = framing.to_string();
+        self.body_ends
+            .get_or_create(&BodyEndLabels { framing, end })
+            .inc();
+    }
+
     pub(crate) fn set_queued(&self, priority: PriorityLevel, waiting: usize) {
         let priority = u64::from(priority.get());
         let waiting = i64::try_from(waiting).unwrap_or(i64::MAX);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -11,10 +11,12 @@
 use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
 use http::{Request, Response};
+use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
+use lentil_handoff::BodyFraming;
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::net::TcpStream;
@@ -91,6 +93,8 @@
 pub struct PoolResponse {
     /// The status and headers.
     pub head: http::response::Parts,
+    /// How the end of the body is marked.
+    pub framing: BodyFraming,
     /// The body. Dropping it before its end closes the connection.
     pub body: LocalBoxStream<'static, Result<Bytes, BodyInterrupted>>,
 }
@@ -222,6 +226,7 @@
             Reuse::Any => idle_timeout(&head.headers),
             Reuse::Never => None,
         };
+        let framing = body_framing(&head.headers, &body);
         let state = Some((body, connection, self.clone()));
         let body = futures_util::stream::unfold(state, move |state| async move {
             let (mut body, connection, pool) = state?;
@@ -248,6 +253,7 @@
         });
         PoolResponse {
             head,
+            framing,
             body: body.boxed_local(),
         }
     }
@@ -264,6 +270,22 @@
     }
 }
 
+/// Returns how the end of a body is marked. The rules are those of RFC 9112, section 6.3.
+fn body_framing(headers: &http::HeaderMap, body: &Incoming) -> BodyFraming {
+    let codings = headers.get_all(http::header::TRANSFER_ENCODING);
+    let is_delimited = match codings.iter().next_back() {
+        Some(last) => last
+            .to_str()
+            .is_ok_and(|text| text.trim_end().to_ascii_lowercase().ends_with("chunked")),
+        None => headers.contains_key(http::header::CONTENT_LENGTH) || body.is_end_stream(),
+    };
+    if is_delimited {
+        BodyFraming::Delimited
+    } else {
+        BodyFraming::UntilClose
+    }
+}
+
 /// Returns how long a connection may stay idle after a response with these
 /// headers; `None` if it must be closed.
 fn idle_timeout(headers: &http::HeaderMap) -> Option<Duration> {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,6 +8,8 @@
 use futures_util::stream::LocalBoxStream;
 use lentil_core::{Refusal, RefusalReason, Span, Time, TokenCount};
 use lentil_fleet::{AttemptResult, GenerationSize};
+use lentil_handoff::BodyFraming;
+use tokio::sync::oneshot::error::RecvError;
 
 use crate::attempt::{Job, OpenedResponse, seconds};
 use crate::backups::Backup;
@@ -26,13 +28,16 @@
 /// Time after the first event from which on an answer counts as established.
 const ESTABLISHING_TIME: Span = Span::from_ms(500);
 
+type ReplyBody = LocalBoxStream<'static, Result<Bytes, BodyInterrupted>>;
+
 /// A stream that is being forwarded to its caller.
 struct StreamRelay {
     gateway: Rc<Gateway>,
     job: Rc<Job>,
     permit: Permit,
     run_guard: RunGuard,
-    body: LocalBoxStream<'static, Result<Bytes, BodyInterrupted>>,
+    framing: BodyFraming,
+    body: ReplyBody,
     splitter: EventSplitter,
     /// The last event that was forwarded to the caller.
     last_event_id: Option<u64>,
@@ -65,6 +70,16 @@
     Open,
 }
 
+impl Cut {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::None => "whole",
+            Self::Ended => "interrupted",
+            Self::Open => "open",
+        }
+    }
+}
+
 /// Where the copy comes from that a run continues from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CopyOrigin {
@@ -123,7 +138,12 @@
             body,
         });
     }
-    let mut relay = StreamRelay::new(Rc::clone(&gateway), Rc::clone(&job), permit, reply.body);
+    let mut relay = StreamRelay::new(
+        Rc::clone(&gateway),
+        Rc::clone(&job),
+        permit,
+        (reply.framing, reply.body),
+    );
     let first = match relay.next().await {
         Some(Ok(first)) => first,
         Some(Err(BodyInterrupted)) => {
@@ -166,7 +186,7 @@
         gateway: Rc<Gateway>,
         job: Rc<Job>,
         permit: Permit,
-        body: LocalBoxStream<'static, Result<Bytes, BodyInterrupted>>,
+        (framing, body): (BodyFraming, ReplyBody),
     ) -> Self {
         let (prompt_tokens, output) = job.token_estimate().unwrap_or_default();
         let run_guard = gateway.runs.register(
@@ -188,6 +208,7 @@
             job,
             permit,
             run_guard,
+            framing,
             body,
             splitter: EventSplitter::default(),
             prompt_tokens,
@@ -358,8 +379,18 @@
 
     /// Handles the end of an engine's response body, which may be truncated.
     async fn handle_body_end(&mut self, cut: Cut) -> BodyEnd {
+        self.gateway
+            .metrics
+            .count_body_end(self.framing, cut.label());
         if let Some(continuation) = self.run_guard.run.take_continuation() {
-            match tokio::time::timeout(CONTINUATION_TIMEOUT, continuation).await {
+            let outcome = tokio::time::timeout(CONTINUATION_TIMEOUT, continuation).await;
+            self.job.note(format!(
+                "body ({}, {}) ended after an order to stop: {}",
+                self.framing,
+                cut.label(),
+                outcome_label(&outcome)
+            ));
+            match outcome {
                 Ok(Ok(Continuation::FromCopy { permit, kv_copy })) => {
                     let origin = CopyOrigin::Move;
                     return self
@@ -493,7 +524,7 @@
                     Some(other) => self.replace_permit(other),
                     None => self.replace_backup(self.permit.take_backup()),
                 }
-                self.replace_body(reply.body);
+                self.replace_body(reply.framing, reply.body);
                 BodyEnd::Continued
             }
             Ok(reply) => {
@@ -527,7 +558,7 @@
         match opened {
             Ok(opened) if opened.reply.status.is_success() => {
                 self.replace_permit(opened.permit);
-                self.replace_body(opened.reply.body);
+                self.replace_body(opened.reply.framing, opened.reply.body);
                 BodyEnd::Continued
             }
             Ok(_) | Err(_) => BodyEnd::Lost,
@@ -554,13 +585,26 @@
         self.permit = permit;
     }
 
-    fn replace_body(&mut self, body: LocalBoxStream<'static, Result<Bytes, BodyInterrupted>>) {
+    fn replace_body(&mut self, framing: BodyFraming, body: ReplyBody) {
+        self.framing = framing;
         self.body = body;
         self.splitter.clear();
         self.stalled_at = self.gateway.now() + self.gateway.bounds.stream_stall_timeout;
     }
 }
 
+const fn outcome_label(
+    outcome: &Result<Result<Continuation, RecvError>, tokio::time::error::Elapsed>,
+) -> &'static str {
+    match outcome {
+        Ok(Ok(Continuation::FromCopy { .. })) => "copied",
+        Ok(Ok(Continuation::AtSource { .. })) => "kept at its engine",
+        Ok(Ok(Continuation::Ended)) => "no such run",
+        Ok(Err(_)) => "failed",
+        Err(_) => "no answer in time",
+    }
+}
+
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         self.gateway.release_backup(&self.run_guard.run);
--- a/crates/handoff/src/lib.rs
+++ b/crates/handoff/src/lib.rs
@@ -17,7 +17,9 @@
 //! caches are copied to another engine in advance, and that engine.
 
 mod backup_planner;
+mod body_end;
 mod migration_planner;
 
 pub use backup_planner::{BackupCandidate, BackupPlanner, BackupRequest};
+pub use body_end::BodyFraming;
 pub use migration_planner::{Action, MigrationPlanner, RunStatus};
