A stream that its engine was told to stop ended as complete

A 2xx is not repeated.

Cause: the end of a stream without length or chunks was taken for the end of its run, also after an order to stop it whose answer was lost, came too late or didn't tell whether it was carried out.

Evidence: the trail of the request, `body (until_close, whole) ended after an order to stop: failed`. stopped_streams::order_without_answer, order_answered_late, order_refused_without_handle and resumable_stream_goes_on failed before the fix; orders_not_carried_out, which guards against streams that are broken off for nothing, passed.

Change: lentil-handoff decides what the end of a body proves. An order to stop counts as unsettled until the engine's answer, or a connection that was never made, shows that it was not carried out. A later order that finds no run doesn't settle an earlier one. After an unsettled order, a stream without a length goes on at its backup engine or as another run, or ends as broken off. Delimited streams are decided as before.

Ruled out: the end of the wait for the answer (the trail names it apart); agents, which take a generation for finished only by its finish reason.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -229,12 +229,16 @@
                 let rejected_by = self.rejected_by.entry(run.key).or_default();
                 rejected_by.push(endpoint);
                 self.plan.record_failure(now, run.key);
+                let is_refused = matches!(error, CopyError::Busy | CopyError::NotSent(_));
                 let retained = self.retained_copy(error);
                 // Releasing a handle frees everything that the source keeps under it.
                 let copy = copy.filter(|copy| retained.as_ref() != Some(copy));
-                if let Some(kv_copy) = retained {
-                    drop(continuation.send(Continuation::AtSource { kv_copy }));
-                }
+                let outcome = match retained {
+                    Some(kv_copy) => Continuation::AtSource { kv_copy },
+                    None if is_refused => Continuation::NotStopped,
+                    None => Continuation::Unsettled,
+                };
+                drop(continuation.send(outcome));
                 self.release_copy(permit, copy);
             }
         }
@@ -247,7 +251,10 @@
             CopyError::TargetUnavailable { handle } => {
                 handle.map(|handle| KvCopy { source, handle })
             }
-            CopyError::RunNotFound | CopyError::Busy | CopyError::Unknown(_) => None,
+            CopyError::RunNotFound
+            | CopyError::Busy
+            | CopyError::NotSent(_)
+            | CopyError::Unknown(_) => None,
         }
     }
 
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -158,6 +158,9 @@
         /// The handle of the stopped run's KV cache.
         handle: Option<String>,
     },
+    /// The order was not sent.
+    #[error("nothing was sent: {0}")]
+    NotSent(String),
     /// It is unknown whether the copy was made.
     #[error("no response: {0}")]
     Unknown(String),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,8 +8,7 @@
 use futures_util::stream::LocalBoxStream;
 use lentil_core::{Refusal, RefusalReason, Span, Time, TokenCount};
 use lentil_fleet::{AttemptResult, GenerationSize};
-use lentil_handoff::BodyFraming;
-use tokio::sync::oneshot::error::RecvError;
+use lentil_handoff::{BodyFraming, StopOrder};
 
 use crate::attempt::{Job, OpenedResponse, seconds};
 use crate::backups::Backup;
@@ -382,35 +381,52 @@
         self.gateway
             .metrics
             .count_body_end(self.framing, cut.label());
-        if let Some(continuation) = self.run_guard.run.take_continuation() {
-            let outcome = tokio::time::timeout(CONTINUATION_TIMEOUT, continuation).await;
+        let mut stop_order = StopOrder::NotCarriedOut;
+        if let Some(switch) = self.run_guard.run.take_switch() {
+            let outcome = tokio::time::timeout(CONTINUATION_TIMEOUT, switch.outcome()).await;
+            let outcome = outcome.unwrap_or(Continuation::Unsettled);
             self.job.note(format!(
-                "body ({}, {}) ended after an order to stop: {}",
+                "body ({}, {}) ended after an order to stop: {outcome}",
                 self.framing,
                 cut.label(),
-                outcome_label(&outcome)
             ));
             match outcome {
-                Ok(Ok(Continuation::FromCopy { permit, kv_copy })) => {
+                Continuation::FromCopy { permit, kv_copy } => {
                     let origin = CopyOrigin::Move;
                     return self
                         .continue_from_copy(Some(*permit), kv_copy, origin)
                         .await;
                 }
-                Ok(Ok(Continuation::AtSource { kv_copy })) => {
+                Continuation::AtSource { kv_copy } => {
                     let origin = CopyOrigin::Move;
                     return self.continue_from_copy(None, kv_copy, origin).await;
                 }
-                Ok(Ok(Continuation::Ended) | Err(_)) | Err(_) => {}
+                Continuation::Ended | Continuation::NotStopped => {}
+                Continuation::Unsettled => stop_order = StopOrder::Unsettled,
             }
         }
         match cut {
-            Cut::None => BodyEnd::Complete,
-            Cut::Ended => self.recover_or_rerun().await,
+            Cut::None if self.is_complete(stop_order) => BodyEnd::Complete,
+            Cut::None | Cut::Ended => self.recover_or_rerun().await,
             Cut::Open => self.rerun_or_lose().await,
         }
     }
 
+    /// Returns whether a body that ended without an error is the whole stream.
+    fn is_complete(&self, stop_order: StopOrder) -> bool {
+        let end = lentil_handoff::BodyEnd {
+            framing: self.framing,
+            stop_order,
+        };
+        let doubt = end.doubt();
+        if let Some(doubt) = doubt {
+            self.gateway.metrics.count_body_end(self.framing, "doubted");
+            self.job
+                .note(format!("the stream may not be complete: {doubt}"));
+        }
+        doubt.is_none()
+    }
+
     /// Continues the run at its backup engine, if it has one, or else reruns the request if
     /// its route allows that.
     async fn recover_or_rerun(&mut self) -> BodyEnd {
@@ -579,6 +595,7 @@
 
     fn replace_permit(&mut self, permit: Permit) {
         self.run_guard.run.place.replace(permit.place.clone());
+        self.run_guard.run.clear_switch();
         self.replace_backup(permit.take_backup());
         permit.record_progress(self.generated_tokens);
         self.gateway.record_version(&self.job, &permit);
@@ -593,18 +610,6 @@
     }
 }
 
-const fn outcome_label(
-    outcome: &Result<Result<Continuation, RecvError>, tokio::time::error::Elapsed>,
-) -> &'static str {
-    match outcome {
-        Ok(Ok(Continuation::FromCopy { .. })) => "copied",
-        Ok(Ok(Continuation::AtSource { .. })) => "kept at its engine",
-        Ok(Ok(Continuation::Ended)) => "no such run",
-        Ok(Err(_)) => "failed",
-        Err(_) => "no answer in time",
-    }
-}
-
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         self.gateway.release_backup(&self.run_guard.run);
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -2,12 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::rc::Rc;
 
 use lentil_core::{EndpointId, ServiceName, Span, Time, TokenCount};
 use lentil_fleet::PlacedRequest;
 use lentil_handoff::RunStatus;
 use tokio::sync::oneshot;
+use tokio::sync::oneshot::error::TryRecvError;
 
 use crate::backups::Backup;
 use crate::endpoints::KvCopy;
@@ -34,6 +36,52 @@
     },
     /// It had already ended.
     Ended,
+    /// The engine did not carry out the order.
+    NotStopped,
+    /// It is unknown whether the engine stopped it.
+    Unsettled,
+}
+
+impl fmt::Display for Continuation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::FromCopy { .. } => "copied",
+            Self::AtSource { .. } => "kept at its engine",
+            Self::Ended => "no such run",
+            Self::NotStopped => "not carried out",
+            Self::Unsettled => "unknown",
+        })
+    }
+}
+
+/// An order to stop a run, from before it is sent until the relay has taken its outcome.
+#[derive(Debug)]
+pub(crate) struct Switch {
+    outcome: oneshot::Receiver<Continuation>,
+    /// Whether an earlier order may have stopped the run. A later one then finds no run.
+    follows_unsettled: bool,
+}
+
+impl Switch {
+    /// Waits for the outcome of the order.
+    pub(crate) async fn outcome(self) -> Continuation {
+        let outcome = self.outcome.await.unwrap_or(Continuation::Unsettled);
+        match outcome {
+            Continuation::Ended | Continuation::NotStopped if self.follows_unsettled => {
+                Continuation::Unsettled
+            }
+            outcome => outcome,
+        }
+    }
+
+    /// Returns whether the order may have stopped the run, if its outcome is known and says
+    /// no more than that.
+    fn is_unsettled(&mut self) -> bool {
+        match self.outcome.try_recv() {
+            Ok(Continuation::Unsettled) | Err(TryRecvError::Closed) => true,
+            Ok(_) | Err(TryRecvError::Empty) => self.follows_unsettled,
+        }
+    }
 }
 
 /// An active run: a generation whose events are forwarded to a caller.
@@ -57,21 +105,31 @@
     pub(crate) tokens_since_first: Cell<TokenCount>,
     /// The engine that receives copies of it.
     pub(crate) backup: RefCell<Option<Backup>>,
-    continuation: RefCell<Option<oneshot::Receiver<Continuation>>>,
+    switch: RefCell<Option<Switch>>,
 }
 
 impl Run {
     /// Prepares to stop this run at its engine. The sender tells the relay how the
     /// run continues.
     pub(crate) fn prepare_switch(&self) -> oneshot::Sender<Continuation> {
-        let (sender, receiver) = oneshot::channel();
-        self.continuation.replace(Some(receiver));
+        let (sender, outcome) = oneshot::channel();
+        let earlier = self.switch.take();
+        let follows_unsettled = earlier.is_some_and(|mut switch| switch.is_unsettled());
+        self.switch.replace(Some(Switch {
+            outcome,
+            follows_unsettled,
+        }));
         sender
     }
 
-    /// Takes the receiver of a switch announced by [`Self::prepare_switch`].
-    pub(crate) fn take_continuation(&self) -> Option<oneshot::Receiver<Continuation>> {
-        self.continuation.take()
+    /// Takes the switch announced by [`Self::prepare_switch`].
+    pub(crate) fn take_switch(&self) -> Option<Switch> {
+        self.switch.take()
+    }
+
+    /// Forgets orders to an engine that no longer has the run.
+    pub(crate) fn clear_switch(&self) {
+        self.switch.take();
     }
 
     /// Its status for the planner of moves.
@@ -142,7 +200,7 @@
             first_event_at: Cell::new(Time::ZERO),
             tokens_since_first: Cell::default(),
             backup: RefCell::default(),
-            continuation: RefCell::new(None),
+            switch: RefCell::default(),
         });
         self.table.borrow_mut().insert(key, Rc::clone(&run));
         RunGuard {
--- a/crates/handoff/src/lib.rs
+++ b/crates/handoff/src/lib.rs
@@ -15,11 +15,14 @@
 //!
 //! An engine that crashes gives no notice. [`BackupPlanner`] chooses the generations whose
 //! caches are copied to another engine in advance, and that engine.
+//!
+//! Engines stop generations that move, also while they are about to terminate themselves. A
+//! [`BodyEnd`] tells a stream that was stopped from one that is complete.
 
 mod backup_planner;
 mod body_end;
 mod migration_planner;
 
 pub use backup_planner::{BackupCandidate, BackupPlanner, BackupRequest};
-pub use body_end::BodyFraming;
+pub use body_end::{BodyEnd, BodyFraming, Doubt, StopOrder};
 pub use migration_planner::{Action, MigrationPlanner, RunStatus};
--- a/crates/handoff/tests/it/main.rs
+++ b/crates/handoff/tests/it/main.rs
@@ -8,4 +8,5 @@
 )]
 
 mod backup_choice;
+mod body_end;
 mod migration_order;
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -54,5 +54,6 @@
 mod stalled_streams;
 mod startup_code;
 mod stop_signals;
+mod stopped_streams;
 mod tls_connections;
 mod trace_propagation;
--- /dev/null
+++ b/crates/lentiltray/tests/it/stopped_streams.rs
@@ -0,0 +1,223 @@
+//! Streams without a length whose engine may have stopped them by order of the gateway.
+
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::fake_http::{
+    ConnectionAction, Framing, ReceivedResponse, Request, response_with_length,
+};
+use crate::gateway_harness::{
+    Replica, Site, request_head, signature_headers, wait_until, write_response,
+};
+
+/// Time between two events of the fake engine.
+const EVENT_GAP: Duration = Duration::from_millis(30);
+/// Number of events in a complete stream.
+const EVENTS: usize = 60;
+
+/// What an engine does with an order to stop its run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OrderResult {
+    /// It stops the run and closes the connection of the order.
+    StopsWithoutAnswer,
+    /// It stops the run and answers when the gateway no longer waits.
+    StopsAndAnswersLate,
+    /// It stops the run and refuses without a handle.
+    StopsAndRefuses,
+    /// It keeps the run, as another copy of it is in progress.
+    Busy,
+    /// It says that the run has ended.
+    NoSuchRun,
+}
+
+/// An engine with streams that end with their connection.
+#[derive(Debug)]
+struct Engine {
+    result: OrderResult,
+    leaves_in_ms: u64,
+    leaving: AtomicBool,
+    stopped: AtomicBool,
+    stop_orders: AtomicUsize,
+}
+
+impl Engine {
+    fn start(name: &str, result: OrderResult, leaves_in_ms: u64) -> (Arc<Self>, Replica) {
+        let engine = Arc::new(Self {
+            result,
+            leaves_in_ms,
+            leaving: AtomicBool::new(false),
+            stopped: AtomicBool::new(false),
+            stop_orders: AtomicUsize::new(0),
+        });
+        let handler = Arc::clone(&engine);
+        let replica = Replica::start(name, move |request, stream| match request.target.as_str() {
+            "/v1/report" => write_response(stream, &handler.report()),
+            "/v1/kv-move" => handler.handle_order(request, stream),
+            _ => handler.generate(request, stream),
+        });
+        (engine, replica)
+    }
+
+    fn report(&self) -> Vec<u8> {
+        let mut report = json!({"stage": "combined", "models": [], "busy": false, "sequence": 1,
+            "waiting": 0, "running": 1, "kvUsed": 400, "kvTotal": 34000, "handles": 0,
+            "state": "ready", "born": 7});
+        if self.leaving.load(Ordering::SeqCst) {
+            report["state"] = json!("draining");
+            report["leaves_ms"] = json!(self.leaves_in_ms);
+        }
+        response_with_length(200, "", report.to_string().as_bytes())
+    }
+
+    fn handle_order(&self, request: &Request, stream: &mut TcpStream) -> ConnectionAction {
+        let order: Value = serde_json::from_slice(&request.body).unwrap();
+        if order["last"] != true {
+            let copied = response_with_length(200, "", br#"{"handle":"h1","created":3}"#);
+            return write_response(stream, &copied);
+        }
+        let is_first = self.stop_orders.fetch_add(1, Ordering::SeqCst) == 0;
+        let stops = !matches!(self.result, OrderResult::Busy | OrderResult::NoSuchRun);
+        if stops && !is_first {
+            return write_response(stream, &response_with_length(404, "", b"{}"));
+        }
+        self.stopped.store(stops, Ordering::SeqCst);
+        let (status, body) = match self.result {
+            OrderResult::StopsWithoutAnswer => return ConnectionAction::Close,
+            OrderResult::StopsAndAnswersLate => {
+                std::thread::sleep(Duration::from_secs(4));
+                (200, r#"{"handle":"h1","created":3}"#)
+            }
+            OrderResult::StopsAndRefuses => (503, "{}"),
+            OrderResult::Busy => (409, "{}"),
+            OrderResult::NoSuchRun => (404, "{}"),
+        };
+        write_response(stream, &response_with_length(status, "", body.as_bytes()))
+    }
+
+    fn generate(&self, request: &Request, stream: &mut TcpStream) -> ConnectionAction {
+        let head = Framing::Neither.head(200, &signature_headers(request), 0);
+        write_response(stream, &head);
+        let last = request.header("last-event-id");
+        let first = last.map_or(1, |last| last.parse::<usize>().unwrap() + 1);
+        for number in first..=EVENTS {
+            if self.stopped.load(Ordering::SeqCst) {
+                break;
+            }
+            write_response(stream, event(number).as_bytes());
+            std::thread::sleep(EVENT_GAP);
+        }
+        ConnectionAction::Close
+    }
+}
+
+fn event(number: usize) -> String {
+    format!("id: {number}\ndata: {number}\n\n")
+}
+
+fn full_stream() -> String {
+    (1..=EVENTS).map(event).collect()
+}
+
+/// Sends a request to one of two engines, which leaves while it writes the answer. Returns
+/// the answer and the notes on the request.
+fn stream_from_leaving_engine(
+    test: &str,
+    target: &str,
+    result: OrderResult,
+    leaves_in_ms: u64,
+) -> (ReceivedResponse, String) {
+    let (engines, replicas): (Vec<_>, Vec<_>) = ["i-1", "i-2"]
+        .map(|name| Engine::start(name, result, leaves_in_ms))
+        .into_iter()
+        .unzip();
+    let listed = [(&replicas[0], "writers"), (&replicas[1], "writers")];
+    let site = Site::start(test, &listed);
+    let mut connection = site.connect();
+    let head = request_head(target, "r1", "").replace("2500", "9000");
+    let caller = std::thread::spawn(move || {
+        connection.send(&head, "hello");
+        connection.receive().unwrap()
+    });
+    let has_request = |replica: &Replica| !replica.requests().is_empty();
+    wait_until("an engine has the request", || {
+        replicas.iter().any(has_request)
+    });
+    std::thread::sleep(EVENT_GAP * 5);
+    let first = usize::from(!has_request(&replicas[0]));
+    engines[first].leaving.store(true, Ordering::SeqCst);
+    let response = caller.join().unwrap();
+    let ended = site.gateway.wait_for_line("request ended");
+    let trail = ended["kvs"]["trail"].as_str().unwrap().to_owned();
+    assert!(engines[first].stop_orders.load(Ordering::SeqCst) > 0);
+    (response, trail)
+}
+
+fn assert_broken_off((response, trail): &(ReceivedResponse, String)) {
+    assert!(full_stream().starts_with(&response.body));
+    assert_ne!(response.body, full_stream());
+    assert!(!response.complete, "{trail}");
+    assert!(trail.contains("may not be complete"), "{trail}");
+}
+
+/// A part of a stream ended as complete: its engine was told to stop the run, and the answer
+/// to the order was lost. Later orders find no run.
+#[test]
+fn order_without_answer() {
+    let result = OrderResult::StopsWithoutAnswer;
+    assert_broken_off(&stream_from_leaving_engine(
+        "unanswered_stop",
+        "/report/a",
+        result,
+        1_700,
+    ));
+}
+
+/// The same where the answer comes after the gateway has stopped waiting for it.
+#[test]
+fn order_answered_late() {
+    let result = OrderResult::StopsAndAnswersLate;
+    assert_broken_off(&stream_from_leaving_engine(
+        "late_stop",
+        "/report/a",
+        result,
+        6_000,
+    ));
+}
+
+/// The same where the answer doesn't tell whether the run was stopped.
+#[test]
+fn order_refused_without_handle() {
+    let result = OrderResult::StopsAndRefuses;
+    assert_broken_off(&stream_from_leaving_engine(
+        "refused_stop",
+        "/report/a",
+        result,
+        1_700,
+    ));
+}
+
+/// A stream that may be resumed goes on at another engine after such an order.
+#[test]
+fn resumable_stream_goes_on() {
+    let result = OrderResult::StopsWithoutAnswer;
+    let (response, trail) = stream_from_leaving_engine("resumed_stop", "/note/a", result, 1_700);
+    assert_eq!(response.body, full_stream(), "{trail}");
+    assert!(response.complete, "{trail}");
+}
+
+/// A stream that no order has stopped is complete at its end.
+#[test]
+fn orders_not_carried_out() {
+    for (test, result) in [
+        ("busy_stop", OrderResult::Busy),
+        ("no_run_stop", OrderResult::NoSuchRun),
+    ] {
+        let (response, trail) = stream_from_leaving_engine(test, "/report/a", result, 1_700);
+        assert_eq!(response.body, full_stream(), "{trail}");
+        assert!(response.complete, "{trail}");
+    }
+}
