A run that had stopped was taken for one that had ended

What callers saw: a part of a stream without a length as the whole; one with chunks broke off.

Cause: an engine that has stopped a run and finds no room at the target keeps the copy and says so. If it closes the stream more than 50 ms later, the gateway has repeated the order by then. The engine knows no such run any more, and this outcome replaced the one with the handle.

Evidence: stopped_streams::kept_copy_is_not_forgotten failed before with the trail `body (until_close, whole) ended after an order to stop: no such run` after 30 of 60 events.

Change: a run that its engine has stopped gets no further order until it has continued.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -61,12 +61,14 @@
             .terminates_at(&self.leaving.endpoint)
     }
 
+    /// The runs to move. A run that is stopped has to continue first: another order would
+    /// find no run, and its outcome would replace the copy to continue from.
     fn run_views(&self) -> Vec<RunStatus<RunKey>> {
         self.gateway
             .runs
             .on_endpoint(&self.leaving.endpoint)
             .iter()
-            .filter(|run| self.gateway.supports_moves(&run.service))
+            .filter(|run| self.gateway.supports_moves(&run.service) && !run.stopped.get())
             .map(|run| self.run_status(run))
             .collect()
     }
@@ -215,6 +217,7 @@
                     handle: completed.handle,
                 };
                 self.plan.record_migrated(run.key);
+                run.stopped.set(true);
                 let permit = Box::new(permit);
                 drop(continuation.send(Continuation::FromCopy { permit, kv_copy }));
             }
@@ -234,7 +237,10 @@
                 // Releasing a handle frees everything that the source keeps under it.
                 let copy = copy.filter(|copy| retained.as_ref() != Some(copy));
                 let outcome = match retained {
-                    Some(kv_copy) => Continuation::AtSource { kv_copy },
+                    Some(kv_copy) => {
+                        run.stopped.set(true);
+                        Continuation::AtSource { kv_copy }
+                    }
                     None if is_refused => Continuation::NotStopped,
                     None => Continuation::Unsettled,
                 };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -604,6 +604,7 @@
 
     fn replace_body(&mut self, framing: BodyFraming, body: ReplyBody) {
         self.framing = framing;
+        self.run_guard.run.stopped.set(false);
         self.body = body;
         self.splitter.clear();
         self.stalled_at = self.gateway.now() + self.gateway.bounds.stream_stall_timeout;
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -106,6 +106,8 @@
     /// The engine that receives copies of it.
     pub(crate) backup: RefCell<Option<Backup>>,
     switch: RefCell<Option<Switch>>,
+    /// Whether its engine has stopped it, and it has not continued yet.
+    pub(crate) stopped: Cell<bool>,
 }
 
 impl Run {
@@ -201,6 +203,7 @@
             tokens_since_first: Cell::default(),
             backup: RefCell::default(),
             switch: RefCell::default(),
+            stopped: Cell::default(),
         });
         self.table.borrow_mut().insert(key, Rc::clone(&run));
         RunGuard {
--- a/crates/lentiltray/tests/it/stopped_streams.rs
+++ b/crates/lentiltray/tests/it/stopped_streams.rs
@@ -16,6 +16,9 @@
 
 /// Time between two events of the fake engine.
 const EVENT_GAP: Duration = Duration::from_millis(30);
+/// Time until an engine closes a stream that it has stopped: longer than the gateway waits
+/// before it repeats an order.
+const CLOSING_DELAY: Duration = Duration::from_millis(400);
 /// Number of events in a complete stream.
 const EVENTS: usize = 60;
 
@@ -28,6 +31,8 @@
     StopsAndAnswersLate,
     /// It stops the run and refuses without a handle.
     StopsAndRefuses,
+    /// It stops the run and refuses with a handle, and closes the stream only later.
+    KeepsCopy,
     /// It keeps the run, as another copy of it is in progress.
     Busy,
     /// It says that the run has ended.
@@ -92,6 +97,7 @@
                 (200, r#"{"handle":"h1","created":3}"#)
             }
             OrderResult::StopsAndRefuses => (503, "{}"),
+            OrderResult::KeepsCopy => (503, r#"{"handle":"h2"}"#),
             OrderResult::Busy => (409, "{}"),
             OrderResult::NoSuchRun => (404, "{}"),
         };
@@ -103,8 +109,12 @@
         write_response(stream, &head);
         let last = request.header("last-event-id");
         let first = last.map_or(1, |last| last.parse::<usize>().unwrap() + 1);
+        let goes_on = request.header("kv-from").is_some();
         for number in first..=EVENTS {
-            if self.stopped.load(Ordering::SeqCst) {
+            if self.stopped.load(Ordering::SeqCst) && !goes_on {
+                if self.result == OrderResult::KeepsCopy {
+                    std::thread::sleep(CLOSING_DELAY);
+                }
                 break;
             }
             write_response(stream, event(number).as_bytes());
@@ -209,6 +219,16 @@
     assert!(response.complete, "{trail}");
 }
 
+/// A run that had stopped was taken for one that had ended: its engine kept a copy for lack
+/// of room elsewhere, and before the stream was closed another order found no run.
+#[test]
+fn kept_copy_is_not_forgotten() {
+    let result = OrderResult::KeepsCopy;
+    let (response, trail) = stream_from_leaving_engine("kept_copy", "/report/a", result, 1_700);
+    assert_eq!(response.body, full_stream(), "{trail}");
+    assert!(response.complete, "{trail}");
+}
+
 /// A stream that no order has stopped is complete at its end.
 #[test]
 fn orders_not_carried_out() {
