An answer that stopped at its time budget ended as complete

Cause: the gateway hands an endpoint its own deadline, rounded down to whole milliseconds. An endpoint that stops then closes its connection just before the gateway's timer. For an answer without length or chunks that was taken for its end.

Change: the rule that decides what the end of a body proves knows the time budget. An answer without a length that ends within 20 ms before it, or later, counts as interrupted; for streams and for buffered answers.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,9 +10,10 @@
     RefusalReason, ServiceName, Span, Time, TokenCount,
 };
 use lentil_fleet::{AttemptResult, LimitChange, LimitNotice, RestNotice};
+use lentil_handoff::{BodyFraming, EndedBody, StopOrder};
 
 use crate::announcements;
-use crate::body::ResponseBody;
+use crate::body::{CollectError, ResponseBody};
 use crate::endpoints::{Attestation, Call, Reply, Resume, SendError};
 use crate::gateway::{Gateway, Permit, RETRY_AFTER_REFUSAL, is_stream};
 use crate::poison::{self, AnswerProgress, LostAnswer};
@@ -634,12 +635,33 @@
         earlier
     }
 
+    /// Returns whether a buffered body that has just ended is complete.
+    fn is_whole(&self, job: &Job, framing: BodyFraming) -> bool {
+        let end = EndedBody {
+            framing,
+            stop_order: StopOrder::NotCarriedOut,
+            ended_at: self.now(),
+            budget_ends_at: job.deadline,
+        };
+        let doubt = end.doubt();
+        if let Some(doubt) = doubt {
+            job.note(format!("the answer may not be complete: {doubt}"));
+        }
+        doubt.is_none()
+    }
+
     async fn send_buffered(self: &Rc<Self>, job: &Job) -> Result<GatewayResponse, Refusal> {
         loop {
             let OpenedResponse { reply, permit } =
                 self.open_response(job, None, TokenCount::ZERO).await?;
             let status = reply.status;
-            match self.response_buffers.collect(reply.body).await {
+            let framing = reply.framing;
+            let collected = self.response_buffers.collect(reply.body).await;
+            let collected = collected.and_then(|body| {
+                let is_whole = self.is_whole(job, framing);
+                is_whole.then_some(body).ok_or(CollectError::Interrupted)
+            });
+            match collected {
                 Ok(body) => {
                     if !status.is_success() {
                         // A fast failure must not count as a low latency.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use futures_util::stream::LocalBoxStream;
 use lentil_core::{Refusal, RefusalReason, Span, Time, TokenCount};
 use lentil_fleet::{AttemptResult, GenerationSize};
-use lentil_handoff::{BodyFraming, StopOrder};
+use lentil_handoff::{BodyFraming, EndedBody, StopOrder};
 
 use crate::attempt::{Job, OpenedResponse, seconds};
 use crate::backups::Backup;
@@ -381,6 +381,7 @@
         self.gateway
             .metrics
             .count_body_end(self.framing, cut.label());
+        let ended_at = self.gateway.now();
         let mut stop_order = StopOrder::NotCarriedOut;
         if let Some(switch) = self.run_guard.run.take_switch() {
             let outcome = tokio::time::timeout(CONTINUATION_TIMEOUT, switch.outcome()).await;
@@ -406,23 +407,25 @@
             }
         }
         match cut {
-            Cut::None if self.is_complete(stop_order) => BodyEnd::Complete,
+            Cut::None if self.is_complete(stop_order, ended_at) => BodyEnd::Complete,
             Cut::None | Cut::Ended => self.recover_or_rerun().await,
             Cut::Open => self.rerun_or_lose().await,
         }
     }
 
     /// Returns whether a body that ended without an error is the whole stream.
-    fn is_complete(&self, stop_order: StopOrder) -> bool {
-        let end = lentil_handoff::BodyEnd {
+    fn is_complete(&self, stop_order: StopOrder, ended_at: Time) -> bool {
+        let end = EndedBody {
             framing: self.framing,
             stop_order,
+            ended_at,
+            budget_ends_at: self.job.deadline,
         };
         let doubt = end.doubt();
         if let Some(doubt) = doubt {
             self.gateway.metrics.count_body_end(self.framing, "doubted");
             self.job
-                .note(format!("the stream may not be complete: {doubt}"));
+                .note(format!("the answer may not be complete: {doubt}"));
         }
         doubt.is_none()
     }
--- a/crates/handoff/src/body_end.rs
+++ b/crates/handoff/src/ended_body.rs
@@ -2,6 +2,12 @@
 
 use std::fmt;
 
+use lentil_core::{Span, Time};
+
+/// Time before the end of a request's time budget from which on a body may have ended because
+/// of it. Endpoints are told the budget in whole milliseconds, and their clocks differ.
+const BUDGET_MARGIN: Span = Span::from_ms(20);
+
 /// How a response marks the end of its body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyFraming {
@@ -31,11 +37,15 @@
 
 /// The end of a response body, without an error of its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct BodyEnd {
+pub struct EndedBody {
     /// How the end of the body is marked.
     pub framing: BodyFraming,
     /// What came of orders to stop the generation.
     pub stop_order: StopOrder,
+    /// When the body ended.
+    pub ended_at: Time,
+    /// When the time ends for which the endpoint may work on the request.
+    pub budget_ends_at: Time,
 }
 
 /// Why a body that looks complete may have ended early.
@@ -43,28 +53,33 @@
 pub enum Doubt {
     /// The engine may have stopped the generation by order.
     Stopped,
+    /// The endpoint may have stopped at the end of the time budget.
+    BudgetOver,
 }
 
 impl fmt::Display for Doubt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Stopped => "its engine may have stopped it by order",
+            Self::BudgetOver => "its endpoint may have stopped at the end of the time budget",
         })
     }
 }
 
-impl BodyEnd {
-    /// Returns why the body may have ended before the generation did; `None` if it shows
-    /// that the generation is complete.
+impl EndedBody {
+    /// Returns why the body may have ended before the answer did; `None` if it shows that the
+    /// answer is complete.
     ///
-    /// An engine that stops a generation closes its stream, which only a delimited body shows.
+    /// An endpoint that stops work closes its connection, which only a delimited body shows.
     #[must_use]
-    pub const fn doubt(&self) -> Option<Doubt> {
-        match (self.framing, self.stop_order) {
-            (BodyFraming::Delimited, _) | (BodyFraming::UntilClose, StopOrder::NotCarriedOut) => {
-                None
-            }
-            (BodyFraming::UntilClose, StopOrder::Unsettled) => Some(Doubt::Stopped),
+    pub fn doubt(&self) -> Option<Doubt> {
+        if self.framing == BodyFraming::Delimited {
+            return None;
+        }
+        if self.stop_order == StopOrder::Unsettled {
+            return Some(Doubt::Stopped);
         }
+        let is_budget_over = self.budget_ends_at <= self.ended_at + BUDGET_MARGIN;
+        is_budget_over.then_some(Doubt::BudgetOver)
     }
 }
--- a/crates/handoff/src/lib.rs
+++ b/crates/handoff/src/lib.rs
@@ -17,12 +17,12 @@
 //! caches are copied to another engine in advance, and that engine.
 //!
 //! Engines stop generations that move, also while they are about to terminate themselves. A
-//! [`BodyEnd`] tells a stream that was stopped from one that is complete.
+//! [`EndedBody`] tells a stream that was stopped from one that is complete.
 
 mod backup_planner;
-mod body_end;
+mod ended_body;
 mod migration_planner;
 
 pub use backup_planner::{BackupCandidate, BackupPlanner, BackupRequest};
-pub use body_end::{BodyEnd, BodyFraming, Doubt, StopOrder};
+pub use ended_body::{BodyFraming, Doubt, EndedBody, StopOrder};
 pub use migration_planner::{Action, MigrationPlanner, RunStatus};
--- /dev/null
+++ b/crates/handoff/tests/it/ended_body.rs
@@ -0,0 +1,54 @@
+//! What the end of a stream's body proves.
+
+use lentil_core::{Span, Time};
+use lentil_handoff::{BodyFraming, Doubt, EndedBody, StopOrder};
+
+fn ms(ms: u64) -> Time {
+    Time::ZERO + Span::from_ms(ms)
+}
+
+/// Guards against a stopped stream that passes for a complete one: only a delimited body
+/// shows that it is complete after an order to stop it that may have been carried out.
+#[test]
+fn stopped_stream() {
+    let doubt = |framing, stop_order| {
+        let end = EndedBody {
+            framing,
+            stop_order,
+            ended_at: ms(100),
+            budget_ends_at: ms(6_000),
+        };
+        end.doubt()
+    };
+    let unsettled = StopOrder::Unsettled;
+    assert_eq!(
+        doubt(BodyFraming::UntilClose, unsettled),
+        Some(Doubt::Stopped)
+    );
+    assert_eq!(doubt(BodyFraming::Delimited, unsettled), None);
+    assert_eq!(
+        doubt(BodyFraming::UntilClose, StopOrder::NotCarriedOut),
+        None
+    );
+}
+
+/// Guards against an answer that its endpoint stopped at the time budget and that passes for a
+/// complete one, also where the end arrives a little before the budget is over.
+#[test]
+fn stopped_at_time_budget() {
+    let doubt = |framing, ended_at| {
+        let end = EndedBody {
+            framing,
+            stop_order: StopOrder::NotCarriedOut,
+            ended_at: ms(ended_at),
+            budget_ends_at: ms(6_000),
+        };
+        end.doubt()
+    };
+    assert_eq!(doubt(BodyFraming::UntilClose, 5_900), None);
+    for ended_at in [5_990, 5_999, 6_000, 6_100] {
+        let known = doubt(BodyFraming::UntilClose, ended_at);
+        assert_eq!(known, Some(Doubt::BudgetOver), "{ended_at}");
+        assert_eq!(doubt(BodyFraming::Delimited, ended_at), None);
+    }
+}
--- a/crates/handoff/tests/it/main.rs
+++ b/crates/handoff/tests/it/main.rs
@@ -8,5 +8,5 @@
 )]
 
 mod backup_choice;
-mod body_end;
+mod ended_body;
 mod migration_order;
--- a/crates/lentiltray/tests/it/stopped_streams.rs
+++ b/crates/lentiltray/tests/it/stopped_streams.rs
@@ -1,9 +1,10 @@
-//! Streams without a length whose engine may have stopped them by order of the gateway.
+//! Answers without a length whose endpoint may have stopped before their end, by order of the
+//! gateway or at the time budget that it set.
 
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -170,7 +171,7 @@
     assert!(full_stream().starts_with(&response.body));
     assert_ne!(response.body, full_stream());
     assert!(!response.complete, "{trail}");
-    assert!(trail.contains("may not be complete"), "{trail}");
+    assert!(trail.contains("the answer may not be complete"), "{trail}");
 }
 
 /// A part of a stream ended as complete: its engine was told to stop the run, and the answer
@@ -241,3 +242,46 @@
         assert!(response.complete, "{trail}");
     }
 }
+
+/// Writes a part of an answer without a length, and closes the connection at the time budget.
+fn stop_at_budget(request: &Request, stream: &mut TcpStream) -> ConnectionAction {
+    let Some(budget_ms) = request.header("deadline-ms") else {
+        return write_response(stream, &response_with_length(404, "", b""));
+    };
+    let budget_ms = budget_ms.parse().unwrap();
+    let ends_at = Instant::now() + Duration::from_millis(budget_ms);
+    let head = Framing::Neither.head(200, &signature_headers(request), 0);
+    write_response(stream, &head);
+    let mut number = 0;
+    while Instant::now() + EVENT_GAP < ends_at {
+        number += 1;
+        write_response(stream, event(number).as_bytes());
+        std::thread::sleep(EVENT_GAP);
+    }
+    std::thread::sleep(ends_at.saturating_duration_since(Instant::now()));
+    ConnectionAction::Close
+}
+
+fn check_stopped_at_budget(test: &str, service: &str, target: &str) {
+    let endpoint = Replica::start("i-1", stop_at_budget);
+    let site = Site::start(test, &[(&endpoint, service)]);
+    let mut connection = site.connect();
+    let head = request_head(target, "r1", "").replace("2500", "1000");
+    connection.send(&head, "hello");
+    let response = connection.receive().unwrap();
+    assert_eq!(endpoint.requests().len(), 1);
+    assert!(response.status != 200 || !response.complete, "{response:?}");
+}
+
+/// A part of a stream ended as complete when its engine stopped work at the time budget that
+/// the gateway had handed it.
+#[test]
+fn stream_stopped_at_budget() {
+    check_stopped_at_budget("stream_budget", "writers", "/report/a");
+}
+
+/// The same for an answer of a plain service.
+#[test]
+fn answer_stopped_at_budget() {
+    check_stopped_at_budget("answer_budget", "desk", "/confirm/a");
+}
