A stream ended as complete with the engine that wrote it

What callers saw: a part of a stream without a length as the whole answer.

Cause: an engine that terminates may close its connections in order, as the kernel does for a process that exits. The end was taken for the end of the stream, though the engine's report had announced that it would be gone by then; the same after a restart that the gateway knew of.

Change: an answer without a length counts as interrupted if it ends within 20 ms before the termination that the engine's report announced, or later, or after its engine has restarted. Estimated terminations don't count: endpoints that drain go on serving for a while.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -19,11 +19,14 @@
 use crate::in_flight::{AttemptResult, InFlightRequest, PlacementId};
 use crate::named_limit::{LimitChange, LimitNotice, NamedLimit};
 use crate::pauses::SlowestPace;
+use crate::placement::PlacedRequest;
 use crate::rest::{Rest, RestNotice};
 use crate::version_rules::VersionRules;
 
 /// How long an engine's report is used.
 pub(crate) const REPORT_TTL: Span = Span::from_ms(1_500);
+/// How much sooner than it said an endpoint may terminate, as reports take a while to arrive.
+const TERMINATION_MARGIN: Span = Span::from_ms(20);
 /// Assumed number of entries while no report gives it.
 pub(crate) const DEFAULT_ENTRY_COUNT: u32 = 8;
 
@@ -511,6 +514,21 @@
         }
     }
 
+    /// Whether the endpoint of a request may have ended since the request was placed: it has
+    /// restarted, or the time has come at which its report says that it terminates.
+    #[must_use]
+    pub fn may_have_ended(&self, now: Time, place: &PlacedRequest) -> bool {
+        let Some(endpoint) = self.endpoints.get(&place.endpoint) else {
+            return true;
+        };
+        let report = endpoint.report.as_ref().map(|(_, report)| report.stage);
+        let has_terminated = match report {
+            Some(EngineStage::Leaving { at: Some(at) }) => at <= now + TERMINATION_MARGIN,
+            Some(EngineStage::Leaving { at: None } | EngineStage::Serving) | None => false,
+        };
+        has_terminated || !self.is_in_flight(place.id)
+    }
+
     /// Start time of an endpoint in Unix milliseconds; 0 if it is unknown.
     #[must_use]
     pub fn started_at_ms(&self, id: &EndpointId) -> u64 {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -635,13 +635,20 @@
         earlier
     }
 
+    /// Returns whether the endpoint of a request may have ended since.
+    pub(crate) fn may_have_ended(&self, permit: &Permit) -> bool {
+        let fleet = self.fleet.borrow();
+        fleet.may_have_ended(self.now(), &permit.place)
+    }
+
     /// Returns whether a buffered body that has just ended is complete.
-    fn is_whole(&self, job: &Job, framing: BodyFraming) -> bool {
+    fn is_whole(&self, job: &Job, permit: &Permit, framing: BodyFraming) -> bool {
         let end = EndedBody {
             framing,
             stop_order: StopOrder::NotCarriedOut,
             ended_at: self.now(),
             budget_ends_at: job.deadline,
+            endpoint_ended: self.may_have_ended(permit),
         };
         let doubt = end.doubt();
         if let Some(doubt) = doubt {
@@ -658,7 +665,7 @@
             let framing = reply.framing;
             let collected = self.response_buffers.collect(reply.body).await;
             let collected = collected.and_then(|body| {
-                let is_whole = self.is_whole(job, framing);
+                let is_whole = self.is_whole(job, &permit, framing);
                 is_whole.then_some(body).ok_or(CollectError::Interrupted)
             });
             match collected {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -420,6 +420,7 @@
             stop_order,
             ended_at,
             budget_ends_at: self.job.deadline,
+            endpoint_ended: self.gateway.may_have_ended(&self.permit),
         };
         let doubt = end.doubt();
         if let Some(doubt) = doubt {
--- a/crates/handoff/src/ended_body.rs
+++ b/crates/handoff/src/ended_body.rs
@@ -46,6 +46,8 @@
     pub ended_at: Time,
     /// When the time ends for which the endpoint may work on the request.
     pub budget_ends_at: Time,
+    /// Whether the endpoint itself may have ended before the body did.
+    pub endpoint_ended: bool,
 }
 
 /// Why a body that looks complete may have ended early.
@@ -55,12 +57,15 @@
     Stopped,
     /// The endpoint may have stopped at the end of the time budget.
     BudgetOver,
+    /// The endpoint may have ended.
+    EndpointEnded,
 }
 
 impl fmt::Display for Doubt {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Stopped => "its engine may have stopped it by order",
+            Self::EndpointEnded => "its endpoint has restarted or terminated",
             Self::BudgetOver => "its endpoint may have stopped at the end of the time budget",
         })
     }
@@ -70,7 +75,7 @@
     /// Returns why the body may have ended before the answer did; `None` if it shows that the
     /// answer is complete.
     ///
-    /// An endpoint that stops work closes its connection, which only a delimited body shows.
+    /// An endpoint that stops work or ends closes its connection, which only a delimited body shows.
     #[must_use]
     pub fn doubt(&self) -> Option<Doubt> {
         if self.framing == BodyFraming::Delimited {
@@ -79,6 +84,9 @@
         if self.stop_order == StopOrder::Unsettled {
             return Some(Doubt::Stopped);
         }
+        if self.endpoint_ended {
+            return Some(Doubt::EndpointEnded);
+        }
         let is_budget_over = self.budget_ends_at <= self.ended_at + BUDGET_MARGIN;
         is_budget_over.then_some(Doubt::BudgetOver)
     }
--- a/crates/handoff/tests/it/ended_body.rs
+++ b/crates/handoff/tests/it/ended_body.rs
@@ -17,6 +17,7 @@
             stop_order,
             ended_at: ms(100),
             budget_ends_at: ms(6_000),
+            endpoint_ended: false,
         };
         end.doubt()
     };
@@ -42,6 +43,7 @@
             stop_order: StopOrder::NotCarriedOut,
             ended_at: ms(ended_at),
             budget_ends_at: ms(6_000),
+            endpoint_ended: false,
         };
         end.doubt()
     };
@@ -52,3 +54,22 @@
         assert_eq!(doubt(BodyFraming::Delimited, ended_at), None);
     }
 }
+
+/// Guards against a stream that was cut off with its engine and that passes for a complete one.
+#[test]
+fn endpoint_ended() {
+    let doubt = |framing, endpoint_ended| {
+        let end = EndedBody {
+            framing,
+            stop_order: StopOrder::NotCarriedOut,
+            ended_at: ms(100),
+            budget_ends_at: ms(6_000),
+            endpoint_ended,
+        };
+        end.doubt()
+    };
+    let known = doubt(BodyFraming::UntilClose, true);
+    assert_eq!(known, Some(Doubt::EndpointEnded));
+    assert_eq!(doubt(BodyFraming::UntilClose, false), None);
+    assert_eq!(doubt(BodyFraming::Delimited, true), None);
+}
--- a/crates/lentiltray/tests/it/stopped_streams.rs
+++ b/crates/lentiltray/tests/it/stopped_streams.rs
@@ -2,8 +2,8 @@
 //! gateway or at the time budget that it set.
 
 use std::net::TcpStream;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -40,18 +40,30 @@
     NoSuchRun,
 }
 
+/// Encodes the report of an engine that terminates in `leaves_in_ms`, if it is leaving.
+fn report(leaves_in_ms: Option<u128>) -> Vec<u8> {
+    let mut report = json!({"stage": "combined", "models": [], "busy": false, "sequence": 1,
+        "waiting": 0, "running": 1, "kvUsed": 400, "kvTotal": 34000, "handles": 0,
+        "state": "ready", "born": 7});
+    if let Some(leaves_in_ms) = leaves_in_ms {
+        report["state"] = json!("draining");
+        report["leaves_ms"] = json!(u64::try_from(leaves_in_ms).unwrap());
+    }
+    response_with_length(200, "", report.to_string().as_bytes())
+}
+
 /// An engine with streams that end with their connection.
 #[derive(Debug)]
 struct Engine {
     result: OrderResult,
-    leaves_in_ms: u64,
+    leaves_in_ms: u128,
     leaving: AtomicBool,
     stopped: AtomicBool,
     stop_orders: AtomicUsize,
 }
 
 impl Engine {
-    fn start(name: &str, result: OrderResult, leaves_in_ms: u64) -> (Arc<Self>, Replica) {
+    fn start(name: &str, result: OrderResult, leaves_in_ms: u128) -> (Arc<Self>, Replica) {
         let engine = Arc::new(Self {
             result,
             leaves_in_ms,
@@ -61,24 +73,17 @@
         });
         let handler = Arc::clone(&engine);
         let replica = Replica::start(name, move |request, stream| match request.target.as_str() {
-            "/v1/report" => write_response(stream, &handler.report()),
+            "/v1/report" => {
+                let is_leaving = handler.leaving.load(Ordering::SeqCst);
+                let leaves_in_ms = is_leaving.then_some(handler.leaves_in_ms);
+                write_response(stream, &report(leaves_in_ms))
+            }
             "/v1/kv-move" => handler.handle_order(request, stream),
             _ => handler.generate(request, stream),
         });
         (engine, replica)
     }
 
-    fn report(&self) -> Vec<u8> {
-        let mut report = json!({"stage": "combined", "models": [], "busy": false, "sequence": 1,
-            "waiting": 0, "running": 1, "kvUsed": 400, "kvTotal": 34000, "handles": 0,
-            "state": "ready", "born": 7});
-        if self.leaving.load(Ordering::SeqCst) {
-            report["state"] = json!("draining");
-            report["leaves_ms"] = json!(self.leaves_in_ms);
-        }
-        response_with_length(200, "", report.to_string().as_bytes())
-    }
-
     fn handle_order(&self, request: &Request, stream: &mut TcpStream) -> ConnectionAction {
         let order: Value = serde_json::from_slice(&request.body).unwrap();
         if order["last"] != true {
@@ -139,7 +144,7 @@
     test: &str,
     target: &str,
     result: OrderResult,
-    leaves_in_ms: u64,
+    leaves_in_ms: u128,
 ) -> (ReceivedResponse, String) {
     let (engines, replicas): (Vec<_>, Vec<_>) = ["i-1", "i-2"]
         .map(|name| Engine::start(name, result, leaves_in_ms))
@@ -285,3 +290,40 @@
 fn answer_stopped_at_budget() {
     check_stopped_at_budget("answer_budget", "desk", "/confirm/a");
 }
+
+/// A part of a stream ended as complete when its engine terminated at the time that it had
+/// announced, and closed its connections in order.
+#[test]
+fn engine_terminated() {
+    let leaves_at = Arc::new(Mutex::new(None::<Instant>));
+    let known = Arc::clone(&leaves_at);
+    let left = move || known.lock().unwrap().map(|at| at - Instant::now());
+    let engine = Replica::start("i-1", move |request, stream| {
+        if request.target == "/v1/report" {
+            return write_response(stream, &report(left().map(|left| left.as_millis())));
+        }
+        let head = Framing::Neither.head(200, &signature_headers(request), 0);
+        write_response(stream, &head);
+        for number in 1..=EVENTS {
+            if left() == Some(Duration::ZERO) {
+                break;
+            }
+            write_response(stream, event(number).as_bytes());
+            std::thread::sleep(EVENT_GAP);
+        }
+        ConnectionAction::Close
+    });
+    let site = Site::start("terminated", &[(&engine, "writers")]);
+    let mut connection = site.connect();
+    let head = request_head("/report/a", "r1", "").replace("2500", "9000");
+    connection.send(&head, "hello");
+    wait_until("the engine has the request", || {
+        !engine.requests().is_empty()
+    });
+    *leaves_at.lock().unwrap() = Some(Instant::now() + EVENT_GAP * 50);
+    site.gateway.wait_for_line("endpoint leaves");
+    let response = connection.receive().unwrap();
+    let ended = site.gateway.wait_for_line("request ended");
+    let trail = ended["kvs"]["trail"].as_str().unwrap().to_owned();
+    assert_broken_off(&(response, trail));
+}
