Entries of another writer took live endpoints out of service

Cause: any entry that could be read was taken for an endpoint, whatever its service, and one that started no earlier ended the endpoint known at its address. Only another start made that undone.

Change: an entry whose service the configuration doesn't name has no effect until a later version names it. No entry ends another endpoint any more: one with a later start suspends it, until it renews its entry, its engine reports from the address, or the other is gone. An answer for another endpoint (421) still ends the one that was meant.

--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -34,6 +34,8 @@
     pub cold_remaining: Span,
     /// Start time in Unix milliseconds, if reported; it changes with every restart.
     pub started_at_ms: Option<u64>,
+    /// Rises each time the endpoint renews its record.
+    pub sequence: u64,
     /// The latest time that is known to be before the record was written; `None` if there
     /// is none.
     pub written_after: Option<Time>,
@@ -135,6 +137,8 @@
     /// Its record disappeared and may have expired while the platform's store was failing.
     /// It counts as available until this time and as leaving afterwards.
     Unlisted { until: Time },
+    /// Another endpoint claims its address. It gets no new requests until it is shown to live.
+    Contested,
     /// It gets no new requests and terminates at this time. Unless it `announced`
     /// this, only its record disappeared, and it becomes available again if the
     /// record returns.
@@ -196,10 +200,15 @@
         match self.availability {
             Availability::Available => true,
             Availability::Unlisted { until } => !until.has_passed(now),
-            Availability::Leaving { .. } => false,
+            Availability::Contested | Availability::Leaving { .. } => false,
         }
     }
 
+    /// Whether the endpoint is leaving.
+    pub(crate) const fn is_leaving(&self) -> bool {
+        matches!(self.availability, Availability::Leaving { .. })
+    }
+
     /// Records the end of a plain request that found `ahead` others. The load that the answer
     /// states counts where it is higher, as others may have come after the request.
     ///
@@ -265,6 +274,13 @@
         }
     }
 
+    /// Whether a record is of a later lifetime, or of an endpoint that has moved.
+    pub(crate) fn is_succeeded_by(&self, record: &EndpointRecord) -> bool {
+        !self.is_earlier_lifetime(record.started_at_ms)
+            && (self.is_other_lifetime(record.started_at_ms)
+                || self.record.address != record.address)
+    }
+
     /// Whether a start time is of an earlier lifetime than the endpoint's record, as in a
     /// record that was written late.
     pub(crate) const fn is_earlier_lifetime(&self, started_at_ms: Option<u64>) -> bool {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -21,6 +21,7 @@
 use crate::pauses::SlowestPace;
 use crate::placement::PlacedRequest;
 use crate::rest::{Rest, RestNotice};
+use crate::unnamed::UnnamedRecords;
 use crate::version_rules::VersionRules;
 
 /// How long an engine's report is used.
@@ -56,6 +57,14 @@
     Leaving(LeavingEndpoint),
     /// An endpoint restarted and lost its requests.
     Restarted(EndpointId),
+    /// An endpoint gets no requests until it is shown to live, as another one claims its
+    /// address.
+    Contested {
+        /// The endpoint's id.
+        endpoint: EndpointId,
+        /// The other endpoint's id.
+        claimed_by: EndpointId,
+    },
     /// An endpoint's record disappeared and may return. It still gets requests.
     Unlisted {
         /// The endpoint's id.
@@ -130,6 +139,7 @@
     pub(crate) followed: BTreeSet<EndpointId>,
     entry_counter: EntryCounter,
     departed: Departed,
+    unnamed: UnnamedRecords,
     /// When a request to the store was sent that failed, the last time.
     store_failed_at: Option<Time>,
     /// Services whose endpoints have stated their pace.
@@ -160,6 +170,7 @@
             followed: BTreeSet::new(),
             entry_counter: EntryCounter::default(),
             departed: Departed::default(),
+            unnamed: UnnamedRecords::default(),
             store_failed_at: None,
             paced: BTreeSet::new(),
             slowest_paces: BTreeMap::new(),
@@ -177,9 +188,15 @@
         self.config.adaptive || self.paced.contains(service)
     }
 
-    /// Sets the catalog that describes the services.
-    pub fn set_catalog(&mut self, catalog: Arc<Catalog>) {
+    /// Sets the catalog that describes the services. Records of services that it names and the
+    /// one before did not are applied.
+    pub fn set_catalog(&mut self, now: Time, catalog: Arc<Catalog>) -> Vec<FleetChange> {
+        let named = self.unnamed.take_named(now, &catalog);
         self.catalog = Some(catalog);
+        named
+            .into_iter()
+            .flat_map(|record| self.upsert_endpoint(now, record))
+            .collect()
     }
 
     /// Sets the availability zones whose endpoints get no new requests.
@@ -212,35 +229,30 @@
 
     /// Adds or updates an endpoint from its record in the list.
     ///
-    /// If two records have the same address, it belongs to the endpoint that
-    /// started later; the other endpoint's record has not expired yet.
+    /// A record whose service no configuration names is no endpoint's. It is kept, and has no
+    /// effect until its service is named.
     pub fn upsert_endpoint(&mut self, now: Time, record: EndpointRecord) -> Vec<FleetChange> {
+        let catalog = self.catalog.as_ref();
+        if catalog.is_none_or(|catalog| catalog.service(&record.service).is_none()) {
+            self.unnamed.insert(now, record);
+            return Vec::new();
+        }
+        self.unnamed.remove(&record.endpoint);
         let started_at_ms = record.started_at_ms;
         let is_known = self.endpoints.contains_key(&record.endpoint);
         if !is_known && self.departed.contains(now, &record.endpoint, started_at_ms) {
             return Vec::new();
         }
-        let conflicting: Vec<_> = self
-            .endpoints
-            .iter()
-            .filter(|(id, endpoint)| {
-                **id != record.endpoint && endpoint.record.address == record.address
-            })
-            .map(|(id, endpoint)| (id.clone(), endpoint.record.started_at_ms))
-            .collect();
-        let started_later = |started_at_ms: &Option<u64>| *started_at_ms > record.started_at_ms;
-        if conflicting
-            .iter()
-            .any(|(_, started_at_ms)| started_later(started_at_ms))
-        {
-            return Vec::new();
+        let id = record.endpoint.clone();
+        let known = self.endpoints.get(&id);
+        let is_new = known.is_none_or(|known| known.is_succeeded_by(&record));
+        let change = self.apply_record(now, record);
+        match change {
+            Some(change @ (FleetChange::Joined(_) | FleetChange::Restarted(_))) if is_new => {
+                self.claim_address(&id, change)
+            }
+            change => change.into_iter().collect(),
         }
-        let mut changes: Vec<_> = conflicting
-            .iter()
-            .filter_map(|(id, _)| self.mark_gone(now, id))
-            .collect();
-        changes.extend(self.apply_record(now, record));
-        changes
     }
 
     /// Marks an endpoint that is no longer at its address as leaving immediately.
@@ -254,18 +266,15 @@
             let draining = record.draining;
             self.endpoints
                 .insert(id.clone(), Endpoint::new(now, record));
-            return if draining {
-                self.begin_leaving(now, &id, None, LeaveEvidence::Record)
-            } else {
-                Some(FleetChange::Joined(id))
-            };
+            if draining {
+                return self.begin_leaving(now, &id, None, LeaveEvidence::Record);
+            }
+            return Some(FleetChange::Joined(id));
         };
         if endpoint.is_earlier_lifetime(record.started_at_ms) {
             return None;
         }
-        if endpoint.is_other_lifetime(record.started_at_ms)
-            || endpoint.record.address != record.address
-        {
+        if endpoint.is_succeeded_by(&record) {
             let draining = record.draining;
             *endpoint = Endpoint::new(now, record);
             self.drop_in_flight(&id);
@@ -277,9 +286,12 @@
         endpoint.cold_until = endpoint.cold_until.max(now + record.cold_remaining);
         endpoint.listed = true;
         let draining = record.draining;
+        let is_renewed = record.sequence > endpoint.record.sequence;
         let written_after = endpoint.record.written_after.max(record.written_after);
+        let sequence = endpoint.record.sequence.max(record.sequence);
         endpoint.record = EndpointRecord {
             written_after,
+            sequence,
             ..record
         };
         if draining {
@@ -296,7 +308,13 @@
                 endpoint.availability = Availability::Available;
                 Some(FleetChange::Joined(id))
             }
-            Availability::Available | Availability::Leaving { .. } => None,
+            Availability::Contested if is_renewed => {
+                endpoint.availability = Availability::Available;
+                Some(FleetChange::Joined(id))
+            }
+            Availability::Available | Availability::Contested | Availability::Leaving { .. } => {
+                None
+            }
         }
     }
 
@@ -327,6 +345,7 @@
     /// while the store fails. Such an endpoint is alive, and its record returns soon after
     /// the failure. Any other removal means that the endpoint leaves.
     pub fn remove_endpoint(&mut self, now: Time, id: &EndpointId) -> Option<FleetChange> {
+        self.unnamed.remove(id);
         let records_return_at = self.records_return_at(now);
         let endpoint = self.endpoints.get_mut(id)?;
         if !std::mem::take(&mut endpoint.listed) {
@@ -345,6 +364,7 @@
 
     /// Handles a complete list: removes all endpoints other than these.
     pub fn retain_only(&mut self, now: Time, ids: &BTreeSet<EndpointId>) -> Vec<FleetChange> {
+        self.unnamed.retain(|id| ids.contains(id));
         let missing: Vec<_> = self
             .endpoints
             .iter()
@@ -369,13 +389,18 @@
             .endpoints
             .iter_mut()
             .filter(|(_, endpoint)| endpoint.record.address == address)
-            .find(|(_, endpoint)| !endpoint.is_other_lifetime(report.started_at_ms))?;
+            .filter(|(_, endpoint)| !endpoint.is_other_lifetime(report.started_at_ms))
+            .min_by_key(|(_, endpoint)| endpoint.availability == Availability::Contested)?;
         let stage = report.stage;
+        let is_shown = endpoint.availability == Availability::Contested
+            && report.started_at_ms.is_some()
+            && report.started_at_ms == endpoint.record.started_at_ms;
         // Only observers measure from the runs.
         report.runs.clear();
         endpoint.record_report(now, report);
         let id = id.clone();
         match stage {
+            EngineStage::Serving if is_shown => self.confirm_address(&id),
             EngineStage::Serving => None,
             EngineStage::Leaving { at } => self.begin_leaving(now, &id, at, LeaveEvidence::Report),
         }
@@ -510,7 +535,9 @@
     pub fn terminates_at(&self, id: &EndpointId) -> Option<Time> {
         match self.endpoints.get(id)?.availability {
             Availability::Leaving { terminates_at, .. } => Some(terminates_at),
-            Availability::Available | Availability::Unlisted { .. } => None,
+            Availability::Available | Availability::Unlisted { .. } | Availability::Contested => {
+                None
+            }
         }
     }
 
@@ -550,10 +577,11 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
-        let changes = expired
+        let mut changes: Vec<_> = expired
             .iter()
             .filter_map(|id| self.begin_leaving(now, id, None, LeaveEvidence::Removal))
             .collect();
+        changes.extend(self.release_addresses(now));
         let busy: BTreeSet<_> = self
             .in_flight
             .values()
@@ -566,7 +594,9 @@
                     terminates_at,
                     announced,
                 } => (terminates_at.has_passed(now), announced),
-                Availability::Available | Availability::Unlisted { .. } => (false, false),
+                Availability::Available
+                | Availability::Unlisted { .. }
+                | Availability::Contested => (false, false),
             };
             let keep = endpoint.listed || !terminated || busy.contains(id);
             if !keep && announced {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod adaptive;
 mod adaptive_calls;
+mod address;
 mod cold_window;
 mod copies;
 mod departed;
@@ -32,6 +33,7 @@
 mod rest;
 mod retry_budget;
 mod scheduling;
+mod unnamed;
 mod version_rules;
 
 pub use copies::CopyHost;
--- a/crates/fleet/tests/it/fixtures.rs
+++ b/crates/fleet/tests/it/fixtures.rs
@@ -37,7 +37,8 @@
     }
 }
 
-fn catalog(slots: u32, memory_tokens: u32) -> Catalog {
+/// A configuration with the services `writers`, `desk` and `more`.
+pub(crate) fn catalog(slots: u32, memory_tokens: u32, more: Option<&str>) -> Catalog {
     let engine = EngineSpec {
         slots,
         memory_tokens: TokenCount::new(memory_tokens),
@@ -73,7 +74,10 @@
             route.target_latency = Span::from_ms(1_500);
             route
         }],
-        services: vec![service("writers", Some(engine)), service("desk", None)],
+        services: [service("writers", Some(engine)), service("desk", None)]
+            .into_iter()
+            .chain(more.map(|name| service(name, None)))
+            .collect(),
         organisations: None,
         unusable_keys: std::collections::HashSet::new(),
         limits: CallerLimits {
@@ -103,7 +107,7 @@
         adaptive,
     };
     let mut fleet = Fleet::new(config, "a".parse().unwrap());
-    fleet.set_catalog(Arc::new(catalog(slots, memory_tokens)));
+    fleet.set_catalog(Time::ZERO, Arc::new(catalog(slots, memory_tokens, None)));
     fleet
 }
 
@@ -117,6 +121,7 @@
         draining: false,
         cold_remaining: Span::ZERO,
         started_at_ms: Some(u64::from(number)),
+        sequence: 1,
         written_after: None,
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -499,7 +499,7 @@
         self.wake.notify_change();
     }
 
-    fn activate_catalog(&self, catalog: Catalog) {
+    fn activate_catalog(self: &Rc<Self>, catalog: Catalog) {
         let version = catalog.version();
         match self.active_config.borrow_mut().replace(catalog) {
             ReplaceOutcome::Newer { previous } => {
@@ -512,7 +512,8 @@
             }
         }
         if let Some(catalog) = self.catalog() {
-            self.fleet.borrow_mut().set_catalog(catalog);
+            let changes = self.fleet.borrow_mut().set_catalog(self.now(), catalog);
+            self.handle_fleet_changes(changes);
         }
         let number = i64::try_from(version.get()).unwrap_or(i64::MAX);
         self.metrics.catalog_version.set(number);
@@ -531,6 +532,12 @@
                     log::info!(endpoint:% = endpoint; "endpoint restarted");
                     self.drop_backups_at(&endpoint);
                 }
+                FleetChange::Contested {
+                    endpoint,
+                    claimed_by,
+                } => {
+                    log::info!(endpoint:% = endpoint, claimed_by:% = claimed_by; "an endpoint's address is claimed by another one");
+                }
                 FleetChange::Unlisted { endpoint, until } => {
                     let returns_in_ms = until.since(self.now()).as_ms();
                     log::info!(endpoint:% = endpoint, returns_in_ms = returns_in_ms; "an endpoint's record is missing and may have expired");
--- a/crates/lentiltray/tests/it/odd_entries.rs
+++ b/crates/lentiltray/tests/it/odd_entries.rs
@@ -112,6 +112,55 @@
     assert_served(&site);
 }
 
+/// Entries of another writer took live endpoints out of service for good: they named the
+/// address of an endpoint and a service of no configuration.
+#[test]
+fn entries_at_addresses_of_endpoints() {
+    let desk = Replica::start("i-1", respond_ok);
+    let marker = Replica::start("i-2", respond_ok);
+    let site = Site::start("odd_addresses", &[(&desk, "desk")]);
+    for (number, born) in [(1, 7), (2, 8), (3, 6)] {
+        let odd = json!({"service": "metrics", "address": desk.address().to_string(),
+            "zone": "z", "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+            "sequence": born, "born": born});
+        let key = format!("odd-{number}");
+        site.store.put("keyed.servers", &key, Some(&odd));
+        site.store.put("keyed.servers", &desk.name, Some(&odd));
+    }
+    site.register_endpoint(&marker, "desk", "ready");
+    wait_until_joined(&site, "i-2");
+    site.send_until_reached("/confirm/a", &desk);
+    assert_served(&site);
+}
+
+/// An endpoint may register before the configuration that names its service.
+#[test]
+fn service_named_by_later_configuration() {
+    let desk = Replica::start("i-1", respond_ok);
+    let archive = Replica::start("i-2", respond_ok);
+    let site = Site::start_unconfigured("named_later", "");
+    site.register_endpoint(&archive, "archive", "ready");
+    site.register_endpoint(&desk, "desk", "ready");
+    let config = crate::gateway_harness::config(1);
+    site.store.put("keyed.op", "config", Some(&config));
+    wait_until_joined(&site, "i-1");
+    let mut config = crate::gateway_harness::config(2);
+    let mut service = config["services"][0].clone();
+    service["name"] = json!("archive");
+    config["services"].as_array_mut().unwrap().push(service);
+    let mut route = config["routes"][1].clone();
+    route["name"] = json!("archive");
+    route["pathPrefix"] = json!("/archive/");
+    route["service"] = json!("archive");
+    config["routes"].as_array_mut().unwrap().push(route);
+    site.store.put("keyed.op", "config", Some(&config));
+    wait_until_joined(&site, "i-2");
+    site.wait_until_ready();
+    let response = site.call("/archive/a", "a1", "").unwrap();
+    assert_eq!(response.status, 200);
+    assert_eq!(archive.requests().len(), 1);
+}
+
 /// A gateway that starts among odd entries reads the newest of each key.
 #[test]
 fn gateway_starts_among_odd_entries() {
