A request ran at more endpoints than its route allows

Cause: attempts were counted when they were sent, after the wait for a place. A retry that waited because every endpoint names a limit was not counted when the hedge was granted.

Evidence: attempt_limit::retry_and_hedge_wait_together failed 3 of 3 times before, with three requests at three endpoints each.

Change: a pure limit counts an attempt from when it is granted; one that finds no place is returned. The trail of a request tells of each grant.

Looked at, not affected: reruns of streams, moves and backups, and the entry's router, which sends a hedge in the step that grants it.

Result: attempt_limit 3 of 3 in both crates.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod adaptive;
 mod adaptive_calls;
 mod address;
+mod attempt_limit;
 mod cold_window;
 mod copies;
 mod departed;
@@ -36,6 +37,7 @@
 mod unnamed;
 mod version_rules;
 
+pub use attempt_limit::AttemptLimit;
 pub use copies::CopyHost;
 pub use endpoint::{EndpointRecord, EngineReport, EngineStage, LoadNotice, PacePercent};
 pub use entry_count::EntryCounter;
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -9,6 +9,7 @@
 
 mod adaptive_calls;
 mod adaptive_engines;
+mod attempt_limit;
 mod cold_limit;
 mod copies;
 mod endpoint_rest;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,7 @@
     ConfigVersion, EndpointId, Fingerprint, NotRunProof, OrganisationId, PromptPartId, Refusal,
     RefusalReason, ServiceName, Span, Time, TokenCount,
 };
-use lentil_fleet::{AttemptResult, LimitChange, LimitNotice, RestNotice};
+use lentil_fleet::{AttemptLimit, AttemptResult, LimitChange, LimitNotice, RestNotice};
 use lentil_handoff::{BodyFraming, EndedBody, StopOrder};
 
 use crate::announcements;
@@ -53,8 +53,7 @@
     pub(crate) arrived: Time,
     /// When the caller must have the complete response.
     pub(crate) deadline: Time,
-    /// Number of endpoints that the request was sent to.
-    sent_count: Cell<u32>,
+    attempts: Cell<AttemptLimit>,
     /// Number of endpoints that run the request, have run it or may have run it.
     possible_runs: Cell<u32>,
     /// Endpoints that the request is not sent to again.
@@ -87,9 +86,8 @@
 }
 
 impl Job {
-    /// Counts an attempt. Until a response proves otherwise, it may have run.
+    /// Records that the request is sent. Until a response proves otherwise, it may have run.
     fn record_send(&self) {
-        self.sent_count.set(self.sent_count.get() + 1);
         self.possible_runs.set(self.possible_runs.get() + 1);
     }
 
@@ -99,12 +97,6 @@
         self.possible_runs.set(runs.saturating_sub(1));
     }
 
-    /// Undoes [`Self::record_send`] for a request that never reached the endpoint.
-    fn undo_send(&self) {
-        self.record_not_run();
-        self.sent_count.set(self.sent_count.get().saturating_sub(1));
-    }
-
     pub(crate) fn new(
         route: Route,
         service: ServiceName,
@@ -129,7 +121,7 @@
             version,
             arrived,
             deadline,
-            sent_count: Cell::new(0),
+            attempts: Cell::new(AttemptLimit::new(route.endpoints_max)),
             possible_runs: Cell::new(0),
             excluded: RefCell::default(),
             notes: RefCell::default(),
@@ -191,8 +183,20 @@
     /// Takes a retry from the budget. Returns `false` if the budget or the route's
     /// limit on endpoints is used up.
     pub(crate) fn take_retry(&self, gateway: &Gateway) -> bool {
-        self.sent_count.get() < self.route.endpoints_max.max(1)
-            && gateway.spend_retry(&self.service)
+        let mut attempts = self.attempts.get();
+        if !attempts.try_grant() || !gateway.spend_retry(&self.service) {
+            return false;
+        }
+        self.attempts.set(attempts);
+        self.note(format!("attempt {} granted", attempts.granted()));
+        true
+    }
+
+    /// Returns an attempt that is not sent.
+    fn return_attempt(&self) {
+        let mut attempts = self.attempts.get();
+        attempts.return_unsent();
+        self.attempts.set(attempts);
     }
 
     /// Excludes an endpoint from further attempts.
@@ -246,7 +250,8 @@
     ) -> Result<OpenedResponse, Refusal> {
         let mut unreached = 0;
         loop {
-            let permit = self.place_job(job, generated_tokens).await?;
+            let placed = self.place_job(job, generated_tokens).await;
+            let permit = placed.inspect_err(|_| job.return_attempt())?;
             self.check_config_trusted(job.organisation.as_ref())?;
             job.check_poison(self)?;
             match self.send_once(job, &permit, resume.clone()).await {
@@ -357,7 +362,7 @@
             }
             Err(SendError::NotSent(reason)) => {
                 permit.record_result(AttemptResult::Unreachable);
-                job.undo_send();
+                job.record_not_run();
                 job.note(format!("{endpoint} not reached in {took_ms} ms: {reason}"));
                 SendOutcome::NotSent
             }
@@ -388,7 +393,7 @@
         let status = reply.status;
         match reply.attestation {
             Attestation::OtherEndpoint => {
-                job.undo_send();
+                job.record_not_run();
                 job.note(format!("another endpoint has the address of {endpoint}"));
                 if self
                     .fleet
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -8,6 +8,7 @@
 )]
 
 mod answer_heads;
+mod attempt_limit;
 mod backup_streams;
 mod bad_requests;
 mod broken_resumes;
