Answers with a status that no answer can have were passed on

What callers saw: a signed `101 Switching Protocols` that nobody had asked for, through a gateway; `100 Continue` as the final answer, through an entry and an agent. 000, 099 and 1000 ended as 502 already.

Cause: whatever the HTTP libraries take for a final answer was passed on.

Evidence: odd_statuses::gateway_passes_on_no_odd_status failed at 101, agent_passes_on_no_odd_status at 100; interim_answers_before_final_one, which guards interim answers before a final one, passed.

Change: one rule, 200 to 599, for what an endpoint client and an agent take for an answer; anything else is a lost answer and ends as 502 unless the route allows a repeat.

--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use lentil_core::{Refusal, RefusalReason, RetryAfter};
+use lentil_core::{Refusal, RefusalReason, RetryAfter, is_final_status};
 use lentil_shell::TraceSpan;
 use lentil_wire::v1;
 use ntex::client::ClientResponse;
@@ -91,6 +91,9 @@
         .send_body(call.body.clone())
         .await
         .map_err(|error| EngineError::from(&error))?;
+    if !is_final_status(response.status().as_u16()) {
+        return Err(EngineError::Status(response.status()));
+    }
     let retry_after = retry_after(&response);
     Ok((read_answer(response).await?, retry_after))
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 mod load;
 mod outcome;
 mod priority;
+mod status;
 mod time;
 mod unit;
 
@@ -20,6 +21,7 @@
 pub use load::{EndpointLoad, EndpointState};
 pub use outcome::{NotRunProof, Outcome, Refusal, RefusalReason};
 pub use priority::{ParsePriorityError, Priority};
+pub use status::is_final_status;
 pub use time::{Span, Time};
 pub use unit::{
     Blocks, ByteCount, ParseRequestRateError, ParseRetryAfterError, ParseUnitError, Permille,
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -4,7 +4,7 @@
 use futures_util::stream::FuturesUnordered;
 use lentil_core::{
     EndpointId, Fingerprint, Outcome, Priority, Refusal, RefusalReason, ServiceName, Span,
-    TokenCount,
+    TokenCount, is_final_status,
 };
 use lentil_wire::v1;
 use ntex::http::StatusCode;
@@ -167,6 +167,7 @@
 fn build_response(answer: v1::Answer) -> HttpResponse {
     let status = u16::try_from(answer.status)
         .ok()
+        .filter(|status| is_final_status(*status))
         .and_then(|status| StatusCode::from_u16(status).ok())
         .unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponse::build(status);
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -37,6 +37,7 @@
 mod named_limits;
 mod odd_answers;
 mod odd_entries;
+mod odd_statuses;
 mod operations_pages;
 mod operator_changes;
 mod planned_stop;
