An agent passed on an answer without a length as an empty one

What callers saw: status 200 and an empty body from a plain service whose answer had neither a length nor chunks, kept under the call's key as well.

Cause: the agent's HTTP library takes such a body for an empty one.

Evidence: answer_heads::agent_answer_without_length failed before (the body is empty where the endpoint sent "done").

Change: an agent takes such an answer for a broken one; the call ends as 502 with the outcome unknown. Reading the body needs another HTTP client in the agent and stays open.

--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -10,6 +10,7 @@
 use tokio::sync::oneshot;
 
 use crate::admission::Command;
+use crate::answer_body;
 use crate::endpoint::Endpoint;
 use crate::engine::EngineError;
 use crate::request::{ServiceCall, not_dispatched, refusal_reply};
@@ -78,7 +79,7 @@
     // repeated or late.
     let mut request = endpoint
         .client
-        .request(method, url)
+        .request(method.clone(), url)
         .force_close()
         .header("traceparent", span.traceparent());
     for header in &call.headers {
@@ -94,6 +95,7 @@
     if !is_final_status(response.status().as_u16()) {
         return Err(EngineError::Status(response.status()));
     }
+    answer_body::check_framing(&method, &response)?;
     let retry_after = retry_after(&response);
     Ok((read_answer(response).await?, retry_after))
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -10,6 +10,7 @@
 mod admission;
 mod agent;
 mod announce;
+mod answer_body;
 mod call;
 mod claims;
 mod counters;
--- a/crates/lentiltray/tests/it/answer_heads.rs
+++ b/crates/lentiltray/tests/it/answer_heads.rs
@@ -74,3 +74,37 @@
         site.stop().unwrap();
     }
 }
+
+/// The body of an answer with neither a length nor chunks reached callers of an entry as an
+/// empty one, with the status of the answer. Other framings are passed on.
+#[test]
+fn agent_answer_without_length() {
+    for framing in Framing::ALL {
+        let endpoint = Server::start(Arc::new(
+            move |_: &Request, stream: &mut std::net::TcpStream| {
+                write_response(stream, &framing.response(200, "", "\"done\""));
+                ConnectionAction::Close
+            },
+        ));
+        let options = SiteOptions {
+            services: 0,
+            ..SiteOptions::default()
+        };
+        let site = ProductSite::start(options).unwrap();
+        let agent = site.start_service_agent(0, endpoint.address).unwrap();
+        let entry = site.entries[0].address();
+        let is_delimited = framing != Framing::Neither;
+        block_on(async move {
+            let caller = Caller::new().await;
+            let answer = confirm(&caller, entry, "key", "bin").await;
+            if is_delimited {
+                assert_eq!((answer.status, answer.body), (200, "done".into()));
+            } else {
+                assert_eq!(answer.status, 502, "{answer:?}");
+                assert_eq!(answer.body["outcome"], "unknown", "{answer:?}");
+            }
+        });
+        agent.stop().unwrap();
+        site.stop().unwrap();
+    }
+}
