An endpoint that sends bytes without end could take an agent's memory

What callers saw: an agent beside a faulty endpoint grew to 536 MB with 64 calls (a small host has 88 MB) or hung, and with it the requests of others.

Cause: each answer to a call was limited to 8 MB, their sum was not. Comments, and tokens beyond what was asked for, were read without end. The parser of events searched its whole buffer again for each piece, so that one event without end kept the thread busy.

Evidence: endless_at_agent::body_in_chunks (536,016 KB), comments and tokens (connections never closed) and event (1 of 64 requests reached the engine) failed before; heads, trailers and status lines without end passed.

Change: answers to calls share 16 MiB while they are received. Streams are broken off after too many bytes without data or more text than was asked for. The gateway's splitter of events, which is linear, moves to lentil-stream and replaces eventsource-stream in the agent.

--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use lentil_core::{Refusal, RefusalReason, RetryAfter, is_final_status};
-use lentil_shell::TraceSpan;
+use lentil_shell::{BodyBudget, TraceSpan};
 use lentil_wire::v1;
 use ntex::client::ClientResponse;
 use ntex::http::{Method, StatusCode};
@@ -15,9 +15,6 @@
 use crate::engine::EngineError;
 use crate::request::{ServiceCall, not_dispatched, refusal_reply};
 
-/// Size limit for the response body of a plain service.
-const ANSWER_MAX_BYTES: usize = 8 * 1024 * 1024;
-
 /// Starts a call at the endpoint and sends its result as `reply`.
 pub(crate) fn start(
     endpoint: &Rc<Endpoint>,
@@ -97,7 +94,8 @@
     }
     answer_body::check_framing(&method, &response)?;
     let retry_after = retry_after(&response);
-    Ok((read_answer(response).await?, retry_after))
+    let answer = read_answer(response, &endpoint.answers).await?;
+    Ok((answer, retry_after))
 }
 
 /// Returns how long an endpoint that turns a call away wants no more.
@@ -113,7 +111,11 @@
         .ok()
 }
 
-async fn read_answer(response: ClientResponse) -> Result<v1::Answer, EngineError> {
+async fn read_answer(
+    response: ClientResponse,
+    budget: &BodyBudget,
+) -> Result<v1::Answer, EngineError> {
+    let status = response.status().as_u16().into();
     let headers = response
         .headers()
         .iter()
@@ -123,13 +125,9 @@
             value: value.as_bytes().to_vec(),
         })
         .collect();
-    let body = response
-        .body()
-        .limit(ANSWER_MAX_BYTES)
-        .await
-        .map_err(|error| EngineError::Broken(error.to_string()))?;
+    let body = answer_body::read(response, budget).await?;
     Ok(v1::Answer {
-        status: response.status().as_u16().into(),
+        status,
         headers,
         body: body.to_vec(),
         replayed: false,
--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -4,9 +4,9 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use lentil_core::{GenerationId, Span};
+use lentil_core::{ByteCount, GenerationId, Span};
 use lentil_settings::{AgentSettings, EndpointKind};
-use lentil_shell::{BoundedReceiver, BoundedSender};
+use lentil_shell::{BodyBudget, BoundedReceiver, BoundedSender};
 use lentil_wire::v1;
 use ntex::client::error::ClientBuilderError;
 use ntex::client::{Client, Connector};
@@ -25,6 +25,9 @@
 /// Maximum number of connections to the endpoint.
 const CONNECTIONS_MAX: usize = 1024;
 
+/// Memory for all answers to calls that are being received. A faulty endpoint may send
+/// bytes without end on every connection.
+const ANSWERS_MAX: ByteCount = ByteCount::new(16 * 1024 * 1024);
 /// Interval between load queries to the engine.
 const LOAD_INTERVAL: Span = Span::from_ms(100);
 /// Consecutive failed load queries after which the engine counts as unreachable.
@@ -59,6 +62,8 @@
     /// Sends callers' requests, each on a connection of its own.
     pub(crate) client: Client,
     pub(crate) base_url: String,
+    /// The memory for the answers to calls while they are received.
+    pub(crate) answers: BodyBudget,
     pub(crate) commands: BoundedSender<Command>,
     load: watch::Receiver<v1::LoadReport>,
     pub(crate) counters: Counters,
@@ -118,6 +123,7 @@
         )),
         client,
         base_url,
+        answers: BodyBudget::new(ANSWERS_MAX),
         commands,
         load,
         counters,
--- a/crates/agent/src/engine.rs
+++ b/crates/agent/src/engine.rs
@@ -1,12 +1,13 @@
 //! Client of a model engine's HTTP API.
 
+use std::fmt::Display;
 use std::future::Future;
 use std::pin::Pin;
 
-use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
-use lentil_core::{GenerationId, Priority};
+use lentil_core::{GenerationId, Priority, TokenCount};
 use lentil_platform::failed_before_sending;
+use lentil_stream::EventSplitter;
 use ntex::client::Client;
 use ntex::client::error::ClientError;
 use ntex::http::StatusCode;
@@ -18,6 +19,11 @@
 /// Timeout of a load query to the engine.
 const LOAD_TIMEOUT: ntex::time::Millis = ntex::time::Millis(1_000);
 
+/// Most bytes that an engine sends without an event that has data.
+const WITHOUT_DATA_MAX_BYTES: usize = 256 * 1024;
+/// Most bytes of text for each token that was asked for, on average.
+const TOKEN_MAX_BYTES: usize = 1024;
+
 /// A future that stays on the thread that owns the engine's connections.
 pub(crate) type LocalFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
@@ -128,6 +134,35 @@
     }
 }
 
+/// Limits the text of one generation.
+struct TextLimit {
+    tokens_left: u32,
+    bytes_left: usize,
+}
+
+impl TextLimit {
+    fn new(tokens_max: TokenCount) -> Self {
+        let tokens = usize::try_from(tokens_max.get()).unwrap_or(usize::MAX);
+        Self {
+            tokens_left: tokens_max.get(),
+            bytes_left: tokens.saturating_mul(TOKEN_MAX_BYTES),
+        }
+    }
+
+    /// Counts the text of one event, which holds a token or more.
+    fn add(&mut self, text: &str) -> Result<(), EngineError> {
+        let tokens_left = self.tokens_left.checked_sub(1);
+        let bytes_left = self.bytes_left.checked_sub(text.len());
+        let (Some(tokens_left), Some(bytes_left)) = (tokens_left, bytes_left) else {
+            let reason = "the engine generated more than was asked for";
+            return Err(EngineError::Broken(reason.to_owned()));
+        };
+        self.tokens_left = tokens_left;
+        self.bytes_left = bytes_left;
+        Ok(())
+    }
+}
+
 /// An engine with an HTTP API.
 pub(crate) struct HttpEngine {
     /// For generations, each on a connection of its own.
@@ -173,20 +208,36 @@
             return Err(EngineError::Status(response.status()));
         }
         sink.on_accepted();
-        let mut events = response.eventsource();
+        let mut response = response;
+        let mut splitter = EventSplitter::default();
+        let mut text_limit = TextLimit::new(request.tokens_max);
+        let mut bytes_without_data = 0;
         let mut reason = None;
-        while let Some(event) = events.next().await {
-            let event = event.map_err(|error| EngineError::Broken(error.to_string()))?;
-            if event.data == "[DONE]" {
-                break;
-            }
-            let chunk: Chunk = serde_json::from_str(&event.data)
-                .map_err(|error| EngineError::Broken(error.to_string()))?;
-            for choice in chunk.choices {
-                if !choice.text.is_empty() {
-                    sink.on_token(choice.text);
+        let broken = |error: &dyn Display| EngineError::Broken(error.to_string());
+        'stream: while let Some(bytes) = response.next().await {
+            let bytes = bytes.map_err(|error| broken(&error))?;
+            bytes_without_data += bytes.len();
+            splitter.push(&bytes);
+            while let Some(event) = splitter.next_event().map_err(|error| broken(&error))? {
+                if !event.has_data {
+                    continue;
                 }
-                reason = choice.finish_reason.or(reason);
+                bytes_without_data = 0;
+                let data = event.data().map_err(|error| broken(&error))?;
+                if data == "[DONE]" {
+                    break 'stream;
+                }
+                let chunk: Chunk = serde_json::from_str(&data).map_err(|error| broken(&error))?;
+                for choice in chunk.choices {
+                    if !choice.text.is_empty() {
+                        text_limit.add(&choice.text)?;
+                        sink.on_token(choice.text);
+                    }
+                    reason = choice.finish_reason.or(reason);
+                }
+            }
+            if bytes_without_data > WITHOUT_DATA_MAX_BYTES {
+                return Err(broken(&format!("{bytes_without_data} bytes without data")));
             }
         }
         reason.ok_or_else(|| {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,6 @@
 mod counted_stream;
 mod drain;
 mod endpoints;
-mod events;
 mod follow;
 mod gateway;
 mod hop_by_hop;
@@ -58,7 +57,6 @@
     Attestation, Call, CompletedCopy, CopyError, CopyRequest, EndpointClient, InspectError, KvCopy,
     Reply, Resume, SendError,
 };
-pub use events::{Event, EventSplitter, SplitError};
 pub use gateway::{Gateway, GatewayBounds, GatewayOptions, StopPlan};
 pub use hop_by_hop::strip_hop_by_hop;
 pub use lentil_handoff::BodyFraming;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,12 +9,12 @@
 use lentil_core::{Refusal, RefusalReason, Span, Time, TokenCount};
 use lentil_fleet::{AttemptResult, GenerationSize};
 use lentil_handoff::{BodyFraming, EndedBody, StopOrder};
+use lentil_stream::{EventSplitter, SplitError};
 
 use crate::attempt::{Job, OpenedResponse, seconds};
 use crate::backups::Backup;
 use crate::body::{BodyInterrupted, ChunkJoiner, ResponseBody};
 use crate::endpoints::{Attestation, KvCopy, Resume};
-use crate::events::{EventSplitter, SplitError};
 use crate::gateway::{Gateway, Permit};
 use crate::poison::{self, AnswerProgress, LostAnswer};
 use crate::request::GatewayResponse;
--- a/crates/gateway/tests/it/main.rs
+++ b/crates/gateway/tests/it/main.rs
@@ -7,5 +7,4 @@
     clippy::unwrap_used
 )]
 
-mod event_splitter;
 mod hop_by_hop_headers;
--- a/crates/lentiltray/tests/it/daemon_process.rs
+++ b/crates/lentiltray/tests/it/daemon_process.rs
@@ -197,6 +197,11 @@
     pub(crate) entry: DaemonProcess,
     pub(crate) agent: DaemonProcess,
     pub(crate) engine: FakeEngine,
+    _platform: FakePlatform,
+}
+
+/// A fake host list and log.
+pub(crate) struct FakePlatform {
     _hosts: FakeHostList,
     _log: FakeLog,
 }
@@ -205,35 +210,48 @@
     /// Starts both processes; `extra` is appended to the settings of each.
     pub(crate) fn start(test: &str, extra: &str) -> Self {
         let engine = FakeEngine::start(EngineOptions::default()).unwrap();
-        let hosts = FakeHostList::start(HostListOptions::default()).unwrap();
-        let log = FakeLog::start(LogOptions::default()).unwrap();
-        let common = |name: &str| {
-            format!(
-                "name: {name}\nhost: h\nzone: z\nregion: r\nlog: {{format: json}}\n\
-                 platform: {{log_url: 'http://{}', host_list_url: 'http://{}', \
-                 poll_interval_ms: 100}}\nlisten: {{callers: 127.0.0.1:0}}\n{extra}",
-                log.address(),
-                hosts.address(),
-            )
-        };
-        let agent = format!(
-            "{}agent: {{kind: engine, endpoint_url: 'http://{}', models: [{MODEL}], \
-             cold_slots: 32, hold_ms: 500}}\n",
-            common("engine"),
+        let endpoint = format!(
+            "kind: engine, endpoint_url: 'http://{}', models: [{MODEL}], cold_slots: 32",
             engine.address(),
         );
-        let entry = format!("{}entry: {{}}\n", common("entry"));
-        let agent = DaemonProcess::start("agent", &format!("{test}-agent"), &agent);
-        let entry = DaemonProcess::start("entry", &format!("{test}-entry"), &entry);
+        let (entry, agent, platform) = start_pair(test, extra, &endpoint);
         Self {
             entry,
             agent,
             engine,
-            _hosts: hosts,
-            _log: log,
+            _platform: platform,
         }
     }
 }
 
+/// Starts an agent for an endpoint, which its settings `endpoint` describe, and an entry.
+/// `extra` is appended to the settings of each.
+pub(crate) fn start_pair(
+    test: &str,
+    extra: &str,
+    endpoint: &str,
+) -> (DaemonProcess, DaemonProcess, FakePlatform) {
+    let hosts = FakeHostList::start(HostListOptions::default()).unwrap();
+    let log = FakeLog::start(LogOptions::default()).unwrap();
+    let common = |name: &str| {
+        format!(
+            "name: {name}\nhost: h\nzone: z\nregion: r\nlog: {{format: json}}\n\
+                 platform: {{log_url: 'http://{}', host_list_url: 'http://{}', \
+                 poll_interval_ms: 100}}\nlisten: {{callers: 127.0.0.1:0}}\n{extra}",
+            log.address(),
+            hosts.address(),
+        )
+    };
+    let agent = format!("{}agent: {{{endpoint}, hold_ms: 500}}\n", common("engine"));
+    let entry = format!("{}entry: {{}}\n", common("entry"));
+    let agent = DaemonProcess::start("agent", &format!("{test}-agent"), &agent);
+    let entry = DaemonProcess::start("entry", &format!("{test}-entry"), &entry);
+    let platform = FakePlatform {
+        _hosts: hosts,
+        _log: log,
+    };
+    (entry, agent, platform)
+}
+
 /// Settings that allow callers without a key.
 pub(crate) const ANONYMOUS_CALLERS: &str = "security: {anonymous_callers: true}\n";
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -18,6 +18,7 @@
 mod dropped_idle;
 mod end_to_end;
 mod endless_answers;
+mod endless_at_agent;
 mod endpoint_rest;
 mod engine_crash;
 mod engine_orders;
--- a/crates/gateway/src/events.rs
+++ b/crates/stream/src/event_splitter.rs
@@ -1,5 +1,7 @@
 //! Splitting a byte stream into server-sent events.
 
+use std::str::Utf8Error;
+
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
 
@@ -18,6 +20,19 @@
     pub bytes: Bytes,
 }
 
+impl Event {
+    /// The event's data, whose lines are joined.
+    ///
+    /// # Errors
+    /// It is not UTF-8.
+    pub fn data(&self) -> Result<String, Utf8Error> {
+        let values = lines(&self.bytes).filter_map(|line| line.strip_prefix(b"data:"));
+        let values = values.map(|value| value.strip_prefix(b" ").unwrap_or(value));
+        let texts: Result<Vec<_>, _> = values.map(std::str::from_utf8).collect();
+        Ok(texts?.join("\n"))
+    }
+}
+
 /// The bytes of a stream are no events.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum SplitError {
--- a/crates/gateway/tests/it/event_splitter.rs
+++ b/crates/stream/tests/it/event_splitter.rs
@@ -1,6 +1,6 @@
 //! Splitting of a byte stream into events, for any division into chunks.
 
-use lentil_gateway::{EventSplitter, SplitError};
+use lentil_stream::{EventSplitter, SplitError};
 use proptest::prelude::*;
 
 const STREAM: &str = "id: 0\ndata: a\n\nid:1\r\ndata: b\r\n\r\ndata: no number\n\n\
@@ -29,6 +29,21 @@
     assert!(!partial);
 }
 
+#[test]
+fn data_of_events() {
+    for (event, data) in [
+        ("id: 1\ndata: a b \n\n", "a b "),
+        ("data:a\r\ndata: b\r\n\r\n", "a\nb"),
+        ("data\n\n", ""),
+        (": comment\n\n", ""),
+    ] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(event.as_bytes());
+        let event = splitter.next_event().unwrap().unwrap();
+        assert_eq!(event.data().unwrap(), data);
+    }
+}
+
 #[test]
 fn incomplete_event_is_held_back() {
     let (events, partial) = split(&[b"id: 1\ndata: a\n\nid: 2\nda"]);
--- a/crates/stream/tests/it/main.rs
+++ b/crates/stream/tests/it/main.rs
@@ -8,6 +8,7 @@
 )]
 
 mod cursor_order;
+mod event_splitter;
 mod generation_store;
 mod stream_runs;
 mod token_journal;
