Count records from before the first configuration as before

Change: without a configuration all records count, as before; the first configuration takes out those whose service it doesn't name. No request is in flight by then.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -191,6 +191,14 @@
     /// Sets the catalog that describes the services. Records of services that it names and the
     /// one before did not are applied.
     pub fn set_catalog(&mut self, now: Time, catalog: Arc<Catalog>) -> Vec<FleetChange> {
+        if self.catalog.is_none() {
+            let is_unnamed = |_: &_, endpoint: &mut Endpoint| {
+                catalog.service(&endpoint.record.service).is_none()
+            };
+            for (_, endpoint) in self.endpoints.extract_if(.., is_unnamed) {
+                self.unnamed.insert(now, endpoint.record);
+            }
+        }
         let named = self.unnamed.take_named(now, &catalog);
         self.catalog = Some(catalog);
         named
@@ -229,11 +237,11 @@
 
     /// Adds or updates an endpoint from its record in the list.
     ///
-    /// A record whose service no configuration names is no endpoint's. It is kept, and has no
-    /// effect until its service is named.
+    /// A record whose service the configuration does not name is no endpoint's. It is kept, and
+    /// has no effect until its service is named.
     pub fn upsert_endpoint(&mut self, now: Time, record: EndpointRecord) -> Vec<FleetChange> {
         let catalog = self.catalog.as_ref();
-        if catalog.is_none_or(|catalog| catalog.service(&record.service).is_none()) {
+        if catalog.is_some_and(|catalog| catalog.service(&record.service).is_none()) {
             self.unnamed.insert(now, record);
             return Vec::new();
         }
--- a/crates/fleet/tests/it/fixtures.rs
+++ b/crates/fleet/tests/it/fixtures.rs
@@ -98,7 +98,8 @@
     fleet_of_engines(adaptive, 64, MEMORY_TOKENS)
 }
 
-pub(crate) fn fleet_of_engines(adaptive: bool, slots: u32, memory_tokens: u32) -> Fleet {
+/// A fleet whose entry knows no configuration yet.
+pub(crate) fn unconfigured_fleet(adaptive: bool) -> Fleet {
     let config = FleetConfig {
         cold_slack: 5.0,
         drain: Span::from_ms(2_000),
@@ -106,7 +107,11 @@
         record_return: Span::from_ms(RECORD_RETURN_MS),
         adaptive,
     };
-    let mut fleet = Fleet::new(config, "a".parse().unwrap());
+    Fleet::new(config, "a".parse().unwrap())
+}
+
+pub(crate) fn fleet_of_engines(adaptive: bool, slots: u32, memory_tokens: u32) -> Fleet {
+    let mut fleet = unconfigured_fleet(adaptive);
     fleet.set_catalog(Time::ZERO, Arc::new(catalog(slots, memory_tokens, None)));
     fleet
 }
--- a/crates/fleet/tests/it/reused_address.rs
+++ b/crates/fleet/tests/it/reused_address.rs
@@ -8,7 +8,9 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-use crate::fixtures::{MEMORY_TOKENS, catalog, chosen, fleet, id, ms, record, report, request};
+use crate::fixtures::{
+    MEMORY_TOKENS, catalog, chosen, fleet, id, ms, record, report, request, unconfigured_fleet,
+};
 
 fn contested(endpoint: u32, claimed_by: u32) -> FleetChange {
     FleetChange::Contested {
@@ -110,6 +112,19 @@
     }
 }
 
+/// The same for records that are read before the first configuration.
+#[test]
+fn claims_before_configuration() {
+    let mut fleet = unconfigured_fleet(false);
+    fleet.upsert_endpoint(ms(0), record(1));
+    fleet.upsert_endpoint(ms(0), claim("metrics", 9, 9));
+    fleet.upsert_endpoint(ms(0), renewed(3, 1));
+    fleet.set_catalog(ms(10), Arc::new(catalog(64, MEMORY_TOKENS, None)));
+    fleet.tick(ms(20));
+    assert!(fleet.is_available(ms(20), &id(1)) && fleet.is_available(ms(20), &id(3)));
+    assert!(!fleet.is_available(ms(20), &id(2)));
+}
+
 /// A record counts from when a later configuration names its service, unless it was removed
 /// before.
 #[test]
