--- a/crates/lentiltray/tests/it/endless_answers.rs
+++ b/crates/lentiltray/tests/it/endless_answers.rs
@@ -76,6 +76,16 @@
     });
 }
 
+#[test]
+fn interim_answers() {
+    for status in ["100 Continue", "103 Early Hints"] {
+        let head = format!("HTTP/1.1 {status}\r\n\r\n");
+        check("endless_interim", "/confirm/a", move |_, stream| {
+            send_without_end(stream, "", head.as_bytes())
+        });
+    }
+}
+
 #[test]
 fn header() {
     check("endless_header", "/confirm/a", |request, stream| {
--- a/crates/lentiltray/tests/it/endless_at_agent.rs
+++ b/crates/lentiltray/tests/it/endless_at_agent.rs
@@ -149,6 +149,12 @@
     check_call("agent_endless_status", endless);
 }
 
+#[test]
+fn interim_answers() {
+    let endless = Endless::new("", b"HTTP/1.1 100 Continue\r\n\r\n");
+    check_call("agent_endless_interim", endless);
+}
+
 #[test]
 fn header() {
     let endless = Endless::new("HTTP/1.1 200 OK\r\nX: ", b"x");
