--- a/crates/lentiltray/tests/it/answer_heads.rs
+++ b/crates/lentiltray/tests/it/answer_heads.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use lentil_site::{Site as ProductSite, SiteOptions};
-
-use crate::caller::{Caller, block_on};
+use crate::caller::{Caller, block_on, start_beside};
 use crate::fake_http::{ConnectionAction, Framing, Request, Server, response_with_length};
 use crate::gateway_harness::{Replica, Site, service_of, signature_headers, write_response};
 use crate::keyed_calls::confirm;
@@ -55,12 +53,7 @@
                 ConnectionAction::Close
             },
         ));
-        let options = SiteOptions {
-            services: 0,
-            ..SiteOptions::default()
-        };
-        let site = ProductSite::start(options).unwrap();
-        let agent = site.start_service_agent(0, endpoint.address).unwrap();
+        let (site, agent) = start_beside(endpoint.address);
         let entry = site.entries[0].address();
         block_on(async move {
             let caller = Caller::new().await;
@@ -86,12 +79,7 @@
                 ConnectionAction::Close
             },
         ));
-        let options = SiteOptions {
-            services: 0,
-            ..SiteOptions::default()
-        };
-        let site = ProductSite::start(options).unwrap();
-        let agent = site.start_service_agent(0, endpoint.address).unwrap();
+        let (site, agent) = start_beside(endpoint.address);
         let entry = site.entries[0].address();
         let is_delimited = framing != Framing::Neither;
         block_on(async move {
--- a/crates/lentiltray/tests/it/caller.rs
+++ b/crates/lentiltray/tests/it/caller.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
-use lentil_site::MODEL;
+use lentil_agent::Agent;
+use lentil_site::{MODEL, Site, SiteOptions};
 use ntex::client::{Client, ClientResponse};
 use ntex::rt::{DefaultRuntime, System};
 use serde_json::{Value, json};
@@ -22,6 +23,17 @@
         .block_on(future);
 }
 
+/// Starts a site whose plain service has one endpoint, at this address, beside an agent.
+pub(crate) fn start_beside(endpoint: SocketAddr) -> (Site, Agent) {
+    let options = SiteOptions {
+        services: 0,
+        ..SiteOptions::default()
+    };
+    let site = Site::start(options).unwrap();
+    let agent = site.start_service_agent(0, endpoint).unwrap();
+    (site, agent)
+}
+
 /// One server-sent event of a streamed response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Event {
--- a/crates/lentiltray/tests/it/endpoint_rest.rs
+++ b/crates/lentiltray/tests/it/endpoint_rest.rs
@@ -5,9 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use lentil_site::{Site as ProductSite, SiteOptions};
-
-use crate::caller::{Caller, block_on};
+use crate::caller::{Caller, block_on, start_beside};
 use crate::fake_http::{ConnectionAction, Framing, Request, Server};
 use crate::gateway_harness::{
     Replica, Site, request_head, respond_ok, service_of, signature_headers, wait_until,
@@ -294,12 +292,7 @@
             &Framing::Length.response(503, "Retry-After: 600\r\n", "{}"),
         )
     }));
-    let options = SiteOptions {
-        services: 0,
-        ..SiteOptions::default()
-    };
-    let site = ProductSite::start(options).unwrap();
-    let agent = site.start_service_agent(0, endpoint.address).unwrap();
+    let (site, agent) = start_beside(endpoint.address);
     let entry = site.entries[0].address();
     block_on(async move {
         let caller = Caller::new().await;
--- a/crates/lentiltray/tests/it/odd_statuses.rs
+++ b/crates/lentiltray/tests/it/odd_statuses.rs
@@ -3,9 +3,9 @@
 use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
 
-use lentil_site::{SERVICE, Site as ProductSite, SiteOptions};
+use lentil_site::SERVICE;
 
-use crate::caller::{Caller, block_on};
+use crate::caller::{Caller, block_on, start_beside};
 use crate::fake_http::{ConnectionAction, Framing, Request, Server, response_with_length};
 use crate::gateway_harness::{Replica, Site, service_of, signature_headers, write_response};
 use crate::keyed_calls::confirm;
@@ -60,12 +60,7 @@
         write_response(stream, &known.lock().unwrap());
         ConnectionAction::Close
     }));
-    let options = SiteOptions {
-        services: 0,
-        ..SiteOptions::default()
-    };
-    let site = ProductSite::start(options).unwrap();
-    let agent = site.start_service_agent(0, endpoint.address).unwrap();
+    let (site, agent) = start_beside(endpoint.address);
     let entry = site.entries[0].address();
     block_on(async move {
         let caller = Caller::new().await;
--- a/crates/lentiltray/tests/it/stale_refusals.rs
+++ b/crates/lentiltray/tests/it/stale_refusals.rs
@@ -7,10 +7,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use lentil_site::{Site as ProductSite, SiteOptions};
 use serde_json::json;
 
-use crate::caller::{Caller, block_on};
+use crate::caller::{Caller, block_on, start_beside};
 use crate::fake_http::{ConnectionAction, Framing, Request, Server, response_with_length};
 use crate::gateway_harness::{
     Replica, Site, request_head, respond_ok, signature_headers, write_response,
@@ -184,12 +183,7 @@
                 write_response(stream, &response_with_length(200, "", answer.as_bytes()))
             },
         ));
-        let options = SiteOptions {
-            services: 0,
-            ..SiteOptions::default()
-        };
-        let site = ProductSite::start(options).unwrap();
-        let agent = site.start_service_agent(0, endpoint.address).unwrap();
+        let (site, agent) = start_beside(endpoint.address);
         let entry = site.entries[0].address();
         block_on(async move {
             let caller = Caller::new().await;
