Describe an ended body at the moment when it ends

The end of the endpoint was looked at only after the wait for the outcome of an order to stop, which may take 2.5 s. Streams and buffered answers describe and check an ended body in one place each.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -400,7 +400,7 @@
             .filter(|(_, endpoint)| !endpoint.is_other_lifetime(report.started_at_ms))
             .min_by_key(|(_, endpoint)| endpoint.availability == Availability::Contested)?;
         let stage = report.stage;
-        let is_shown = endpoint.availability == Availability::Contested
+        let confirms_address = endpoint.availability == Availability::Contested
             && report.started_at_ms.is_some()
             && report.started_at_ms == endpoint.record.started_at_ms;
         // Only observers measure from the runs.
@@ -408,7 +408,7 @@
         endpoint.record_report(now, report);
         let id = id.clone();
         match stage {
-            EngineStage::Serving if is_shown => self.confirm_address(&id),
+            EngineStage::Serving if confirms_address => self.confirm_address(&id),
             EngineStage::Serving => None,
             EngineStage::Leaving { at } => self.begin_leaving(now, &id, at, LeaveEvidence::Report),
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -192,6 +192,15 @@
         true
     }
 
+    /// Returns whether a body is complete, and notes why it may not be.
+    pub(crate) fn check_complete(&self, end: &EndedBody) -> bool {
+        let doubt = end.doubt();
+        if let Some(doubt) = doubt {
+            self.note(format!("the answer may not be complete: {doubt}"));
+        }
+        doubt.is_none()
+    }
+
     /// Returns an attempt that is not sent.
     fn return_attempt(&self) {
         let mut attempts = self.attempts.get();
@@ -640,26 +649,16 @@
         earlier
     }
 
-    /// Returns whether the endpoint of a request may have ended since.
-    pub(crate) fn may_have_ended(&self, permit: &Permit) -> bool {
-        let fleet = self.fleet.borrow();
-        fleet.may_have_ended(self.now(), &permit.place)
-    }
-
-    /// Returns whether a buffered body that has just ended is complete.
-    fn is_whole(&self, job: &Job, permit: &Permit, framing: BodyFraming) -> bool {
-        let end = EndedBody {
+    /// Describes a body that ends now, without an order to stop its run.
+    pub(crate) fn ended_body(&self, job: &Job, permit: &Permit, framing: BodyFraming) -> EndedBody {
+        let now = self.now();
+        EndedBody {
             framing,
             stop_order: StopOrder::NotCarriedOut,
-            ended_at: self.now(),
+            ended_at: now,
             budget_ends_at: job.deadline,
-            endpoint_ended: self.may_have_ended(permit),
-        };
-        let doubt = end.doubt();
-        if let Some(doubt) = doubt {
-            job.note(format!("the answer may not be complete: {doubt}"));
+            endpoint_ended: self.fleet.borrow().may_have_ended(now, &permit.place),
         }
-        doubt.is_none()
     }
 
     async fn send_buffered(self: &Rc<Self>, job: &Job) -> Result<GatewayResponse, Refusal> {
@@ -670,8 +669,10 @@
             let framing = reply.framing;
             let collected = self.response_buffers.collect(reply.body).await;
             let collected = collected.and_then(|body| {
-                let is_whole = self.is_whole(job, &permit, framing);
-                is_whole.then_some(body).ok_or(CollectError::Interrupted)
+                let end = self.ended_body(job, &permit, framing);
+                job.check_complete(&end)
+                    .then_some(body)
+                    .ok_or(CollectError::Interrupted)
             });
             match collected {
                 Ok(body) => {
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -232,7 +232,7 @@
                 let rejected_by = self.rejected_by.entry(run.key).or_default();
                 rejected_by.push(endpoint);
                 self.plan.record_failure(now, run.key);
-                let is_refused = matches!(error, CopyError::Busy | CopyError::NotSent(_));
+                let not_carried_out = matches!(error, CopyError::Busy | CopyError::NotSent(_));
                 let retained = self.retained_copy(error);
                 // Releasing a handle frees everything that the source keeps under it.
                 let copy = copy.filter(|copy| retained.as_ref() != Some(copy));
@@ -241,7 +241,7 @@
                         run.stopped.set(true);
                         Continuation::AtSource { kv_copy }
                     }
-                    None if is_refused => Continuation::NotStopped,
+                    None if not_carried_out => Continuation::NotStopped,
                     None => Continuation::Unsettled,
                 };
                 drop(continuation.send(outcome));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -381,8 +381,9 @@
         self.gateway
             .metrics
             .count_body_end(self.framing, cut.label());
-        let ended_at = self.gateway.now();
-        let mut stop_order = StopOrder::NotCarriedOut;
+        let mut end = self
+            .gateway
+            .ended_body(&self.job, &self.permit, self.framing);
         if let Some(switch) = self.run_guard.run.take_switch() {
             let outcome = tokio::time::timeout(CONTINUATION_TIMEOUT, switch.outcome()).await;
             let outcome = outcome.unwrap_or(Continuation::Unsettled);
@@ -403,32 +404,23 @@
                     return self.continue_from_copy(None, kv_copy, origin).await;
                 }
                 Continuation::Ended | Continuation::NotStopped => {}
-                Continuation::Unsettled => stop_order = StopOrder::Unsettled,
+                Continuation::Unsettled => end.stop_order = StopOrder::Unsettled,
             }
         }
         match cut {
-            Cut::None if self.is_complete(stop_order, ended_at) => BodyEnd::Complete,
+            Cut::None if self.is_complete(&end) => BodyEnd::Complete,
             Cut::None | Cut::Ended => self.recover_or_rerun().await,
             Cut::Open => self.rerun_or_lose().await,
         }
     }
 
     /// Returns whether a body that ended without an error is the whole stream.
-    fn is_complete(&self, stop_order: StopOrder, ended_at: Time) -> bool {
-        let end = EndedBody {
-            framing: self.framing,
-            stop_order,
-            ended_at,
-            budget_ends_at: self.job.deadline,
-            endpoint_ended: self.gateway.may_have_ended(&self.permit),
-        };
-        let doubt = end.doubt();
-        if let Some(doubt) = doubt {
+    fn is_complete(&self, end: &EndedBody) -> bool {
+        let is_complete = self.job.check_complete(end);
+        if !is_complete {
             self.gateway.metrics.count_body_end(self.framing, "doubted");
-            self.job
-                .note(format!("the answer may not be complete: {doubt}"));
         }
-        doubt.is_none()
+        is_complete
     }
 
     /// Continues the run at its backup engine, if it has one, or else reruns the request if
