Make the test of a service that is named later wait for its version

Cause, traced to the test: since entries count before the first configuration, so the endpoint's `endpoint joined` could be written before the version that the test waits for, and the request came too early.

Change: the gateway has a configuration before the entry is read, and the test asks that the endpoint has not joined by then, which it did not ask before. It then joins with the version that names its service.

--- a/crates/lentiltray/tests/it/odd_entries.rs
+++ b/crates/lentiltray/tests/it/odd_entries.rs
@@ -138,12 +138,13 @@
 fn service_named_by_later_configuration() {
     let desk = Replica::start("i-1", respond_ok);
     let archive = Replica::start("i-2", respond_ok);
-    let site = Site::start_unconfigured("named_later", "");
+    let marker = Replica::start("i-3", respond_ok);
+    let site = Site::start("named_later", &[(&desk, "desk")]);
     site.register_endpoint(&archive, "archive", "ready");
-    site.register_endpoint(&desk, "desk", "ready");
-    let config = crate::gateway_harness::config(1);
-    site.store.put("keyed.op", "config", Some(&config));
-    wait_until_joined(&site, "i-1");
+    site.register_endpoint(&marker, "desk", "ready");
+    // Entries are read in their order, and only the last one has joined by now.
+    let joined = site.gateway.wait_for_line("endpoint joined");
+    assert_eq!(joined["kvs"]["endpoint"], "i-3");
     let mut config = crate::gateway_harness::config(2);
     let mut service = config["services"][0].clone();
     service["name"] = json!("archive");
@@ -155,7 +156,6 @@
     config["routes"].as_array_mut().unwrap().push(route);
     site.store.put("keyed.op", "config", Some(&config));
     wait_until_joined(&site, "i-2");
-    site.wait_until_ready();
     let response = site.call("/archive/a", "a1", "").unwrap();
     assert_eq!(response.status, 200);
     assert_eq!(archive.requests().len(), 1);
