Reproduce parts of ordered stops that ended as complete

Evidence: three gateways, four engines with observers, two of which leave together, twelve streams. A known 200 that is read after the end of the body held 5 of 5.

New on the current code and red: a run that was stopped and whose target refuses or is gone is given up (target_refuses, target_gone, resumable_run_repeats: 5 of 5 runs), and an engine that stops a run and answers 404 ends its stream as complete (stop_denied: 5 of 5).

--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -41,6 +41,7 @@
 mod odd_statuses;
 mod operations_pages;
 mod operator_changes;
+mod ordered_stops;
 mod planned_stop;
 mod poison_request;
 mod prompt_part;
