Continue a stopped run where its memory still is

What callers saw: a stream that was stopped for its move broke off when the target refused it or could not be reached. The engine that had stopped it keeps the memory, its backup may hold a copy, and resumable routes allow another run; none of them was asked.

Cause: any answer but a success at the target ended the stream.

Change: a target that states that it did not run the stream, or was never reached, is followed by the engine that stopped it, then by the backup and by another run where the route allows one. After a lost or unclear answer the stream ends as broken off, as the target may run it.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,7 +14,7 @@
 use crate::attempt::{Job, OpenedResponse, seconds};
 use crate::backups::Backup;
 use crate::body::{BodyInterrupted, ChunkJoiner, ResponseBody};
-use crate::endpoints::{Attestation, KvCopy, Resume};
+use crate::endpoints::{Attestation, KvCopy, Resume, SendError};
 use crate::gateway::{Gateway, Permit};
 use crate::poison::{self, AnswerProgress, LostAnswer};
 use crate::request::GatewayResponse;
@@ -107,6 +107,14 @@
     Lost,
 }
 
+/// What came of continuing a run from a copy of its KV cache.
+enum Continued {
+    /// The stream goes on, or is lost as the engine may have run it.
+    Settled(BodyEnd),
+    /// The engine did not run it.
+    NotRun,
+}
+
 /// Serves a stream. Waits for the first event, so that an earlier failure can
 /// still be reported with a status code, then forwards events as they arrive.
 pub(crate) async fn serve_stream(
@@ -394,14 +402,10 @@
             ));
             match outcome {
                 Continuation::FromCopy { permit, kv_copy } => {
-                    let origin = CopyOrigin::Move;
-                    return self
-                        .continue_from_copy(Some(*permit), kv_copy, origin)
-                        .await;
+                    return self.continue_stopped(Some(*permit), kv_copy).await;
                 }
                 Continuation::AtSource { kv_copy } => {
-                    let origin = CopyOrigin::Move;
-                    return self.continue_from_copy(None, kv_copy, origin).await;
+                    return self.continue_stopped(None, kv_copy).await;
                 }
                 Continuation::Ended | Continuation::NotStopped => {}
                 Continuation::Unsettled => end.stop_order = StopOrder::Unsettled,
@@ -443,7 +447,10 @@
         );
         self.recovered = true;
         let origin = CopyOrigin::Backup;
-        self.continue_from_copy(Some(permit), kv_copy, origin).await
+        match self.continue_from_copy(Some(permit), kv_copy, origin).await {
+            Continued::Settled(end) => end,
+            Continued::NotRun => self.rerun_or_lose().await,
+        }
     }
 
     /// Reserves capacity for the run at its backup engine. A run continues there only once,
@@ -483,6 +490,23 @@
         self.resume_elsewhere().await
     }
 
+    /// Continues a run that was stopped for a move: at its target, else at the engine that
+    /// stopped it, which keeps the memory, else like a run whose engine is lost. The next one is
+    /// asked only if the one before stated that it did not run it, or was never reached.
+    async fn continue_stopped(&mut self, target: Option<Permit>, kv_copy: KvCopy) -> BodyEnd {
+        let origin = CopyOrigin::Move;
+        if let Some(target) = target {
+            let continued = self.continue_from_copy(Some(target), kv_copy.clone(), origin);
+            if let Continued::Settled(end) = continued.await {
+                return end;
+            }
+        }
+        match self.continue_from_copy(None, kv_copy, origin).await {
+            Continued::Settled(end) => end,
+            Continued::NotRun => self.recover_or_rerun().await,
+        }
+    }
+
     /// Continues the same run from a copy of its KV cache: at the engine of `other`
     /// or, without one, at the engine that stopped it.
     async fn continue_from_copy(
@@ -490,11 +514,11 @@
         other: Option<Permit>,
         kv_copy: KvCopy,
         origin: CopyOrigin,
-    ) -> BodyEnd {
+    ) -> Continued {
         if self.progress() != AnswerProgress::Established
             && self.job.check_poison(&self.gateway).is_err()
         {
-            return BodyEnd::Lost;
+            return Continued::Settled(BodyEnd::Lost);
         }
         let resume = Resume {
             last_event_id: self.last_event_id,
@@ -512,7 +536,7 @@
                 "{} wants no requests and does not continue the stream",
                 permit.place.endpoint
             ));
-            return self.rerun_or_lose().await;
+            return Continued::NotRun;
         }
         if origin == CopyOrigin::Move && !self.recovered {
             self.gateway.plan_backup(&self.job, permit);
@@ -537,20 +561,28 @@
                     None => self.replace_backup(self.permit.take_backup()),
                 }
                 self.replace_body(reply.framing, reply.body);
-                BodyEnd::Continued
+                Continued::Settled(BodyEnd::Continued)
             }
             Ok(reply) => {
                 self.job
                     .note(format!("{endpoint} refused to continue: {}", reply.status));
                 origin.count(&self.gateway, "refused");
-                BodyEnd::Lost
+                match reply.attestation {
+                    Attestation::NotRun | Attestation::OtherEndpoint => Continued::NotRun,
+                    Attestation::Ran | Attestation::Nothing => Continued::Settled(BodyEnd::Lost),
+                }
             }
             Err(error) => {
                 permit.record_result(AttemptResult::Unreachable);
                 self.job
                     .note(format!("{endpoint} failed to continue: {error}"));
                 origin.count(&self.gateway, "failed");
-                BodyEnd::Lost
+                match error {
+                    SendError::NotSent(_) => Continued::NotRun,
+                    SendError::Unknown(_) | SendError::Mismatched(_) => {
+                        Continued::Settled(BodyEnd::Lost)
+                    }
+                }
             }
         }
     }
--- a/crates/lentiltray/tests/it/ordered_stops.rs
+++ b/crates/lentiltray/tests/it/ordered_stops.rs
@@ -23,8 +23,10 @@
 const EVENT_GAP: Duration = Duration::from_millis(30);
 /// Number of events in a complete stream.
 const EVENTS: usize = 100;
-/// Notice of engines that leave.
+/// Notice of engines that leave together.
 const NOTICE: Duration = Duration::from_millis(1_700);
+/// Notice that outlasts a stream, so that it can end at the engine that leaves.
+const LONG_NOTICE: Duration = Duration::from_millis(8_000);
 /// Time from the end of a stopped stream until its order is answered, so that the gateway has
 /// seen the end before.
 const ANSWER_DELAY: Duration = Duration::from_millis(200);
@@ -94,8 +96,8 @@
         (engine, Replica::start_at(host, name, handle))
     }
 
-    fn leave(&self) {
-        *self.leaves_at.lock().unwrap() = Some(Instant::now() + NOTICE);
+    fn leave(&self, notice: Duration) {
+        *self.leaves_at.lock().unwrap() = Some(Instant::now() + notice);
     }
 
     fn is_leaving(&self) -> bool {
@@ -269,7 +271,7 @@
     let mut busiest: Vec<_> = engines.iter().collect();
     busiest.sort_by_key(|engine| std::cmp::Reverse(engine.run_count()));
     for engine in &busiest[..engines.len() / 2] {
-        engine.leave();
+        engine.leave(NOTICE);
     }
     let responses = callers
         .into_iter()
@@ -381,7 +383,7 @@
     // The stream is established, so that its request is not suspected of a crash.
     std::thread::sleep(Duration::from_millis(700));
     let source = usize::from(engines[0].run_count() == 0);
-    engines[source].leave();
+    engines[source].leave(LONG_NOTICE);
     let response = caller.join().unwrap();
     let ended = site.gateway.wait_for_line("request ended");
     let trail = ended["kvs"]["trail"].as_str().unwrap().to_owned();
