--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -30,6 +30,7 @@
 mod graceful_stop;
 mod keep_alive;
 mod keyed_calls;
+mod killed_engines;
 mod killed_executor;
 mod leaving_answers;
 mod lost_store;
