Reproduce a report that an observer sends again as if it were new

Cause, as read: an observer keeps the time that an engine has left as of its poll, and each gateway counts it from the moment of receipt. So gateways hold a termination that is later than the true one by the age of the report: up to the poll interval, or more where the engine answers slowly.

--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -47,6 +47,7 @@
 mod poison_request;
 mod prompt_part;
 mod raw_grpc;
+mod report_age;
 mod request_floods;
 mod rollout_evidence;
 mod rollout_orders;
