Observers sent the time left of an engine as of their last poll

What callers saw: a part of a stream without length or chunks as the whole, when its engine closed its connections in order at the end of its notice.

Cause: an observer kept the time left, and gateways counted it from the moment of receipt. They held a termination that was later than the true one by the age of the report.

Evidence: the trail of a request now says how the end of the body lies to the expected termination.

Change: the observer stores the time at which the engine terminates and computes the time left when it sends a report.

--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -111,7 +111,7 @@
         let listen = |source| ObserverError::Listen { address, source };
         let listener = std::net::TcpListener::bind(address).map_err(listen)?;
         listener.set_nonblocking(true).map_err(listen)?;
-        let (reports, latest) = watch::channel(v1::EngineReport::default());
+        let (reports, latest) = watch::channel(LatestReport::default());
         let shared = Shared {
             metrics: options.metrics.clone(),
             followers: Arc::new(AtomicU32::new(0)),
@@ -169,30 +169,32 @@
                     runs.apply_report(now, report.started_at_ms, &report.runs, report.waiting);
                 });
                 let interval = token_meter.record(now, report.started_at_ms, &report.runs);
-                to_wire(now, &report, interval)
+                LatestReport::new(&report, interval)
             }
             Err(error) => {
                 shared.metrics.unanswered.inc();
                 if reachable != Some(false) {
                     log::warn!(engine:% = options.engine; "failed to poll the engine: {error}");
                 }
-                v1::EngineReport::default()
+                LatestReport::default()
             }
         };
-        if reachable != Some(report.reachable) {
-            log::info!(engine:% = options.engine, reachable = report.reachable; "engine seen");
-            reachable = Some(report.reachable);
+        let message = &mut report.message;
+        if reachable != Some(message.reachable) {
+            log::info!(engine:% = options.engine, reachable = message.reachable; "engine seen");
+            reachable = Some(message.reachable);
         }
-        report.followers = shared.followers.load(Ordering::Relaxed);
-        shared.metrics.followers.set(report.followers.into());
+        message.followers = shared.followers.load(Ordering::Relaxed);
+        shared.metrics.followers.set(message.followers.into());
         let crashes = v1::AccuseRequest::from(&shared.crash_reports(now));
-        report.rumours = crashes.rumours;
-        report.part_crashes = crashes.part_crashes;
-        let pending_runs = shared.set_announced(&mut report);
-        report.rollouts = shared.rollout_sums(now);
+        message.rumours = crashes.rumours;
+        message.part_crashes = crashes.part_crashes;
+        let pending_runs = shared.set_announced(message);
+        message.rollouts = shared.rollout_sums(now);
         shared.reports.send_if_modified(|before| {
-            if report.leaving != before.leaving {
-                log::info!(engine:% = options.engine, leaving = report.leaving, gone_in_ms:? = report.gone_in_ms; "engine changed stage");
+            if report.message.leaving != before.message.leaving {
+                let gone_in_ms = report.gone_in_ms(options.clock.now());
+                log::info!(engine:% = options.engine, leaving = report.message.leaving, gone_in_ms:? = gone_in_ms; "engine changed stage");
             }
             let differs = *before != report;
             *before = report;
@@ -207,30 +209,60 @@
     }
 }
 
-fn to_wire(now: Time, report: &EngineReport, token_interval: Option<Span>) -> v1::EngineReport {
-    let (leaving, gone_in_ms) = match report.stage {
-        EngineStage::Serving => (false, None),
-        EngineStage::Leaving { at } => (true, at.map(|at| at.since(now).as_ms())),
-    };
-    v1::EngineReport {
-        reachable: true,
-        leaving,
-        gone_in_ms,
-        born_ms: report.started_at_ms,
-        running: report.running,
-        waiting: report.waiting,
-        memory_used_tokens: report.memory_used.get(),
-        memory_total_tokens: report.memory_total.get(),
-        followers: 0,
-        rumours: Vec::new(),
-        part_crashes: Vec::new(),
-        token_interval_us: token_interval
-            .map(|interval| u32::try_from(interval.as_us()).unwrap_or(u32::MAX)),
-        prefilling: report.prefilling,
-        next_prompt_tokens: report.next_prompt.map(TokenCount::get),
-        announced_runs: 0,
-        announced_prompt_tokens: 0,
-        rollouts: Vec::new(),
+/// The latest report of the engine. A report may be sent long after its poll and more than
+/// once, so it holds the time at which the engine terminates; the time left is computed when it
+/// is sent.
+#[derive(Debug, Clone, Default, PartialEq)]
+struct LatestReport {
+    /// The report as it is sent, without the time left.
+    message: v1::EngineReport,
+    /// When the engine terminates, if it said so.
+    terminates_at: Option<Time>,
+}
+
+impl LatestReport {
+    fn new(report: &EngineReport, token_interval: Option<Span>) -> Self {
+        let (leaving, terminates_at) = match report.stage {
+            EngineStage::Serving => (false, None),
+            EngineStage::Leaving { at } => (true, at),
+        };
+        let message = v1::EngineReport {
+            reachable: true,
+            leaving,
+            gone_in_ms: None,
+            born_ms: report.started_at_ms,
+            running: report.running,
+            waiting: report.waiting,
+            memory_used_tokens: report.memory_used.get(),
+            memory_total_tokens: report.memory_total.get(),
+            followers: 0,
+            rumours: Vec::new(),
+            part_crashes: Vec::new(),
+            token_interval_us: token_interval
+                .map(|interval| u32::try_from(interval.as_us()).unwrap_or(u32::MAX)),
+            prefilling: report.prefilling,
+            next_prompt_tokens: report.next_prompt.map(TokenCount::get),
+            announced_runs: 0,
+            announced_prompt_tokens: 0,
+            rollouts: Vec::new(),
+        };
+        Self {
+            message,
+            terminates_at,
+        }
+    }
+
+    fn gone_in_ms(&self, now: Time) -> Option<u64> {
+        self.terminates_at.map(|at| at.since(now).as_ms())
+    }
+
+    /// Returns the message to send to a gateway that was `sent` a report before.
+    fn to_message(&self, now: Time, sent: Option<&Self>) -> v1::EngineReport {
+        let message = v1::EngineReport {
+            gone_in_ms: self.gone_in_ms(now),
+            ..self.message.clone()
+        };
+        without_known_reports(message, sent.map(|sent| &sent.message))
     }
 }
 
@@ -264,7 +296,7 @@
     followers: Arc<AtomicU32>,
     suspects: Arc<Mutex<CrashSuspects>>,
     announced: Arc<Mutex<AnnouncedRuns>>,
-    reports: watch::Sender<v1::EngineReport>,
+    reports: watch::Sender<LatestReport>,
     rollouts: Arc<Mutex<ReportedEvidence>>,
 }
 
@@ -303,8 +335,8 @@
             }
         });
         self.reports.send_if_modified(|report| {
-            let before = report.announced_runs;
-            self.set_announced(report) != before
+            let before = report.message.announced_runs;
+            self.set_announced(&mut report.message) != before
         });
     }
 
@@ -330,7 +362,7 @@
 /// The gRPC service for gateways.
 struct Service {
     clock: BootClock,
-    latest: watch::Receiver<v1::EngineReport>,
+    latest: watch::Receiver<LatestReport>,
     shared: Shared,
     /// The engine's link for copies. It is granted in order of arrival.
     link: Arc<Semaphore>,
@@ -432,10 +464,11 @@
         self.shared.followers.fetch_add(1, Ordering::Relaxed);
         let follower = Follower(Arc::clone(&self.shared.followers));
         let state = (self.latest.clone(), follower, None);
+        let clock = self.clock;
         let reports =
-            futures_util::stream::unfold(state, |(mut latest, follower, sent)| async move {
+            futures_util::stream::unfold(state, move |(mut latest, follower, sent)| async move {
                 let report = next_report(&mut latest, sent.as_ref()).await?;
-                let message = without_known_reports(report.clone(), sent.as_ref());
+                let message = report.to_message(clock.now(), sent.as_ref());
                 Some((Ok(message), (latest, follower, Some(report))))
             });
         Ok(Response::new(reports.boxed()))
@@ -479,9 +512,9 @@
 /// crash reports at once, a change of load at most every
 /// [`load_report_interval`], and any report every [`HEARTBEAT_INTERVAL`].
 async fn next_report(
-    latest: &mut watch::Receiver<v1::EngineReport>,
-    sent: Option<&v1::EngineReport>,
-) -> Option<v1::EngineReport> {
+    latest: &mut watch::Receiver<LatestReport>,
+    sent: Option<&LatestReport>,
+) -> Option<LatestReport> {
     let Some(sent) = sent else {
         return Some(latest.borrow_and_update().clone());
     };
@@ -489,16 +522,17 @@
     loop {
         let elapsed = started.elapsed();
         let report = latest.borrow_and_update().clone();
-        let interval = if report.announced_prompt_tokens == sent.announced_prompt_tokens {
-            load_report_interval(sent.followers)
+        let (new, known) = (&report.message, &sent.message);
+        let interval = if new.announced_prompt_tokens == known.announced_prompt_tokens {
+            load_report_interval(known.followers)
         } else {
-            announcement_interval(sent.followers)
+            announcement_interval(known.followers)
         };
-        let urgent = report.leaving != sent.leaving
-            || report.reachable != sent.reachable
-            || report.rumours != sent.rumours
-            || report.part_crashes != sent.part_crashes
-            || report.born_ms != sent.born_ms;
+        let urgent = new.leaving != known.leaving
+            || new.reachable != known.reachable
+            || new.rumours != known.rumours
+            || new.part_crashes != known.part_crashes
+            || new.born_ms != known.born_ms;
         if urgent || elapsed >= HEARTBEAT_INTERVAL || (elapsed >= interval && report != *sent) {
             return Some(report);
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -392,6 +392,7 @@
         let mut end = self
             .gateway
             .ended_body(&self.job, &self.permit, self.framing);
+        self.note_termination(end.ended_at);
         if let Some(switch) = self.run_guard.run.take_switch() {
             let outcome = tokio::time::timeout(CONTINUATION_TIMEOUT, switch.outcome()).await;
             let outcome = outcome.unwrap_or(Continuation::Unsettled);
@@ -418,6 +419,26 @@
         }
     }
 
+    /// Notes how the end of a body without length or chunks lies to the termination of its
+    /// engine, if that is known.
+    fn note_termination(&self, ended_at: Time) {
+        let terminates_at = self
+            .gateway
+            .fleet
+            .borrow()
+            .terminates_at(&self.permit.place.endpoint);
+        let Some(terminates_at) = terminates_at else {
+            return;
+        };
+        if self.framing == BodyFraming::UntilClose {
+            let before = terminates_at.since(ended_at);
+            let after = ended_at.since(terminates_at);
+            self.job.note(format!(
+                "body ended {before} before and {after} after the expected termination"
+            ));
+        }
+    }
+
     /// Returns whether a body that ended without an error is the whole stream.
     fn is_complete(&self, end: &EndedBody) -> bool {
         let is_complete = self.job.check_complete(end);
