Ask an engine whether it still answers after an undelimited stream

What callers saw: a part of a stream without length or chunks as the whole, when its engine was killed before the time that its report had announced, or without notice. The kernel closes the connections of such a process as one whose streams are complete would.

Cause: the end of the body was the only evidence. A held time can't replace it: reports may state values of some hundred milliseconds ago.

Change: where nothing else is doubtful, the end of a stream without length or chunks counts only if its engine answers a request for its report afterwards, in the lifetime in which it began the stream and before the end of its notice. Engines without reports may answer in any way. Length and chunks decide by themselves as before. The margins before the termination and before the time budget are sums of named parts (20 ms each, as before).

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -26,8 +26,24 @@
 
 /// How long an engine's report is used.
 pub(crate) const REPORT_TTL: Span = Span::from_ms(1_500);
-/// How much sooner than it said an endpoint may terminate, as reports take a while to arrive.
-const TERMINATION_MARGIN: Span = Span::from_ms(20);
+/// Largest amount by which an endpoint may round up the time that it has left.
+const LEFT_TIME_ROUNDING: Span = Span::from_ms(1);
+/// Time that a report takes from the observer's computing of the time left to a gateway's reading
+/// of its clock, both threads' waits included; the poll before it counts from its start.
+const REPORT_TRANSFER: Span = Span::from_ms(5);
+/// Time for which a body that has ended may wait for the gateway's thread the less than the
+/// report did: a turn of a busy event loop.
+const SCHEDULING_DELAY: Span = Span::from_ms(10);
+/// Time by which an endpoint that ends may close its streams before its announced end.
+const CLOSING_TIME: Span = Span::from_ms(4);
+/// How much sooner than a gateway holds an endpoint may terminate. Values of some time ago, which
+/// reports may state, are not part of it: whether the endpoint still answers decides there.
+const TERMINATION_MARGIN: Span = Span::from_us(
+    LEFT_TIME_ROUNDING.as_us()
+        + REPORT_TRANSFER.as_us()
+        + SCHEDULING_DELAY.as_us()
+        + CLOSING_TIME.as_us(),
+);
 /// Assumed number of entries while no report gives it.
 pub(crate) const DEFAULT_ENTRY_COUNT: u32 = 8;
 
@@ -557,11 +573,17 @@
             return true;
         };
         let report = endpoint.report.as_ref().map(|(_, report)| report.stage);
-        let has_terminated = match report {
-            Some(EngineStage::Leaving { at: Some(at) }) => at <= now + TERMINATION_MARGIN,
-            Some(EngineStage::Leaving { at: None } | EngineStage::Serving) | None => false,
-        };
-        has_terminated || !self.is_in_flight(place.id)
+        report.is_some_and(|stage| has_terminated(now, stage)) || !self.is_in_flight(place.id)
+    }
+
+    /// Whether a report that the endpoint of a request gave shows that it has neither ended nor
+    /// restarted since the request was placed.
+    #[must_use]
+    pub fn shows_alive(&self, now: Time, place: &PlacedRequest, report: &EngineReport) -> bool {
+        let endpoint = self.endpoints.get(&place.endpoint);
+        endpoint.is_some_and(|endpoint| !endpoint.is_other_lifetime(report.started_at_ms))
+            && !has_terminated(now, report.stage)
+            && !self.may_have_ended(now, place)
     }
 
     /// Start time of an endpoint in Unix milliseconds; 0 if it is unknown.
@@ -677,3 +699,11 @@
         self.copies.retain(|_, copy| copy.endpoint != *id);
     }
 }
+
+/// Whether the time has come at which an endpoint of this stage terminates.
+fn has_terminated(now: Time, stage: EngineStage) -> bool {
+    match stage {
+        EngineStage::Leaving { at: Some(at) } => at <= now + TERMINATION_MARGIN,
+        EngineStage::Leaving { at: None } | EngineStage::Serving => false,
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 
 use crate::announcements;
 use crate::body::{CollectError, ResponseBody};
-use crate::endpoints::{Attestation, Call, Reply, Resume, SendError};
+use crate::endpoints::{Attestation, Call, InspectError, Reply, Resume, SendError};
 use crate::gateway::{Gateway, Permit, RETRY_AFTER_REFUSAL, is_stream};
 use crate::poison::{self, AnswerProgress, LostAnswer};
 use crate::pool::Reuse;
@@ -24,6 +24,9 @@
 
 /// Number of unreachable endpoints after which a request fails.
 const UNREACHED_ENDPOINTS_MAX: u32 = 4;
+/// How often an endpoint is asked whether it still answers. The first connection may be an idle
+/// one that it has closed meanwhile.
+const CONFIRMATIONS_MAX: u32 = 2;
 /// Longest time that a request waits for capacity, in percent of its route's
 /// target latency. After a longer wait the first event would be late.
 const QUEUE_WAIT_PERCENT: u64 = 100;
@@ -658,9 +661,31 @@
             ended_at: now,
             budget_ends_at: job.deadline,
             endpoint_ended: self.fleet.borrow().may_have_ended(now, &permit.place),
+            answers_after: None,
         }
     }
 
+    /// Returns whether the endpoint of a stream that has ended still answers, in the lifetime in
+    /// which it began the stream. A process that is killed closes its connections as one does
+    /// whose stream is complete, but answers nothing more.
+    pub(crate) async fn answers_after_end(&self, permit: &Permit) -> bool {
+        let place = &permit.place;
+        for _ in 0..CONFIRMATIONS_MAX {
+            let now = self.now();
+            match self.endpoint_client.inspect(place.address, now).await {
+                Ok(report) => return self.fleet.borrow().shows_alive(now, place, &report),
+                // Endpoints without reports answer in some other way.
+                Err(InspectError::NoReport(_)) => {
+                    return !self.fleet.borrow().may_have_ended(now, place);
+                }
+                Err(InspectError::Unanswered(reason)) => {
+                    log::info!(endpoint:% = place.endpoint; "endpoint does not answer after the end of a stream: {reason}");
+                }
+            }
+        }
+        false
+    }
+
     async fn send_buffered(self: &Rc<Self>, job: &Job) -> Result<GatewayResponse, Refusal> {
         loop {
             let OpenedResponse { reply, permit } =
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -166,10 +166,16 @@
     Unknown(String),
 }
 
-/// An engine returned no report.
+/// Why an engine returned no report.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("no report: {0}")]
-pub struct InspectError(pub String);
+pub enum InspectError {
+    /// It did not answer.
+    #[error("no report: {0}")]
+    Unanswered(String),
+    /// Its answer is no report.
+    #[error("no report: {0}")]
+    NoReport(String),
+}
 
 /// A client for endpoints.
 pub trait EndpointClient {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -412,6 +412,9 @@
                 Continuation::Unsettled => end.stop_order = StopOrder::Unsettled,
             }
         }
+        if cut == Cut::None && end.needs_answer() {
+            end.answers_after = Some(self.gateway.answers_after_end(&self.permit).await);
+        }
         match cut {
             Cut::None if self.is_complete(&end) => BodyEnd::Complete,
             Cut::None | Cut::Ended => self.recover_or_rerun().await,
--- a/crates/handoff/src/ended_body.rs
+++ b/crates/handoff/src/ended_body.rs
@@ -4,9 +4,16 @@
 
 use lentil_core::{Span, Time};
 
+/// Endpoints are told the time budget in whole milliseconds, rounded down.
+const BUDGET_ROUNDING: Span = Span::from_ms(1);
+/// Time by which an endpoint's clock may run ahead over a budget of minutes.
+const CLOCK_DRIFT: Span = Span::from_ms(9);
+/// Time by which an endpoint's timers may fire early, or that it takes before its end to stop.
+const STOPPING_TIME: Span = Span::from_ms(10);
 /// Time before the end of a request's time budget from which on a body may have ended because
-/// of it. Endpoints are told the budget in whole milliseconds, and their clocks differ.
-const BUDGET_MARGIN: Span = Span::from_ms(20);
+/// of it.
+const BUDGET_MARGIN: Span =
+    Span::from_us(BUDGET_ROUNDING.as_us() + CLOCK_DRIFT.as_us() + STOPPING_TIME.as_us());
 
 /// How a response marks the end of its body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +55,8 @@
     pub budget_ends_at: Time,
     /// Whether the endpoint itself may have ended before the body did.
     pub endpoint_ended: bool,
+    /// Whether the endpoint answered after the body had ended; `None` if it was not asked.
+    pub answers_after: Option<bool>,
 }
 
 /// Why a body that looks complete may have ended early.
@@ -59,6 +68,8 @@
     BudgetOver,
     /// The endpoint may have ended.
     EndpointEnded,
+    /// The endpoint does not answer any more.
+    EndpointSilent,
 }
 
 impl fmt::Display for Doubt {
@@ -66,6 +77,7 @@
         f.write_str(match self {
             Self::Stopped => "its engine may have stopped it by order",
             Self::EndpointEnded => "its endpoint has restarted or terminated",
+            Self::EndpointSilent => "its endpoint does not answer after its end",
             Self::BudgetOver => "its endpoint may have stopped at the end of the time budget",
         })
     }
@@ -87,7 +99,15 @@
         if self.endpoint_ended {
             return Some(Doubt::EndpointEnded);
         }
-        let is_budget_over = self.budget_ends_at <= self.ended_at + BUDGET_MARGIN;
-        is_budget_over.then_some(Doubt::BudgetOver)
+        if self.budget_ends_at <= self.ended_at + BUDGET_MARGIN {
+            return Some(Doubt::BudgetOver);
+        }
+        (self.answers_after == Some(false)).then_some(Doubt::EndpointSilent)
+    }
+
+    /// Whether only the endpoint itself can show that it was there to end the body.
+    #[must_use]
+    pub fn needs_answer(&self) -> bool {
+        self.framing == BodyFraming::UntilClose && self.doubt().is_none()
     }
 }
--- a/crates/handoff/tests/it/ended_body.rs
+++ b/crates/handoff/tests/it/ended_body.rs
@@ -18,6 +18,7 @@
             ended_at: ms(100),
             budget_ends_at: ms(6_000),
             endpoint_ended: false,
+            answers_after: None,
         };
         end.doubt()
     };
@@ -44,6 +45,7 @@
             ended_at: ms(ended_at),
             budget_ends_at: ms(6_000),
             endpoint_ended: false,
+            answers_after: None,
         };
         end.doubt()
     };
@@ -65,6 +67,7 @@
             ended_at: ms(100),
             budget_ends_at: ms(6_000),
             endpoint_ended,
+            answers_after: None,
         };
         end.doubt()
     };
@@ -73,3 +76,25 @@
     assert_eq!(doubt(BodyFraming::UntilClose, false), None);
     assert_eq!(doubt(BodyFraming::Delimited, true), None);
 }
+
+/// Guards against a stream that was cut off with an engine that was killed: one that does not
+/// answer afterwards proves nothing. Only where nothing else is doubtful is it asked.
+#[test]
+fn silent_endpoint() {
+    let end = |framing, endpoint_ended, answers_after| EndedBody {
+        framing,
+        stop_order: StopOrder::NotCarriedOut,
+        ended_at: ms(100),
+        budget_ends_at: ms(6_000),
+        endpoint_ended,
+        answers_after,
+    };
+    let doubt = |framing, answers_after| end(framing, false, answers_after).doubt();
+    assert_eq!(doubt(BodyFraming::UntilClose, Some(true)), None);
+    let silent = doubt(BodyFraming::UntilClose, Some(false));
+    assert_eq!(silent, Some(Doubt::EndpointSilent));
+    assert_eq!(doubt(BodyFraming::Delimited, Some(false)), None);
+    assert!(end(BodyFraming::UntilClose, false, None).needs_answer());
+    assert!(!end(BodyFraming::UntilClose, true, None).needs_answer());
+    assert!(!end(BodyFraming::Delimited, false, None).needs_answer());
+}
