Show streams that go on at another version inside one answer

An engine of another software version of the service was chosen for a stream that had begun: for a move when the settings name no limits of roll-outs, and for another run in every case. The head of an answer was that of the first engine that answered, also when it wrote no event.

--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -63,3 +63,4 @@
 mod stopped_streams;
 mod tls_connections;
 mod trace_propagation;
+mod version_choice;
--- a/crates/lentiltray/tests/it/moved_streams.rs
+++ b/crates/lentiltray/tests/it/moved_streams.rs
@@ -244,6 +244,29 @@
     assert_eq!(requests.len(), 1);
 }
 
+/// Guards against the same with settings that name no limits of roll-outs.
+#[test]
+fn unlimited_run_stays() {
+    let leaving_flags = [
+        Arc::new(AtomicBool::new(false)),
+        Arc::new(AtomicBool::new(false)),
+    ];
+    let engines = [
+        engine("i-1", &leaving_flags[0], MoveResult::Copied),
+        engine("i-2", &leaving_flags[1], MoveResult::Copied),
+    ];
+    let site = Site::start("unlimited_run", &[]);
+    site.register_version(&engines[0], "writers", "v1");
+    site.register_version(&engines[1], "writers", "v2");
+    for _ in &engines {
+        site.gateway.wait_for_line("endpoint joined");
+    }
+    let (response, requests) = leave_during_stream(&site, &engines, &leaving_flags);
+    assert_eq!(response.body, full_stream());
+    assert!(response.complete);
+    assert_eq!(requests.len(), 1);
+}
+
 /// A run that the engine no longer knows has ended on its own, so it is not migrated.
 #[test]
 fn unknown_run_finishes_in_place() {
