Keep a stream that has begun at the version that began it

Streams went on at engines of another software version of their service, inside one answer. Moves were restricted only if the settings name limits of roll-outs, another run never, and the reserve of room at targets was kept by service, so that it could lie at engines that the runs can't use.

A placement request now says which versions it may go to (VersionNeed), and lentil-fleet alone decides: with Only, all available endpoints of exactly that version are candidates whatever the roll-out's rules say, endpoints without a valid version are a class of their own, and a version that was rolled back gets nothing. A run keeps the version that its endpoint stated at its placement (PlacedRequest::version). The relay binds the request to that version when the first bytes are passed on; before that a failed attempt is rerun at any version, and the answer's head is that of the engine whose event comes first. Moves, copies, backups at their choice and at their use, further runs and the reserve of room all go by it.

An engine that has restarted or changed its entry between its choice and its answer is found out before anything that it wrote is passed on, and before a run is stopped so that it moves there; the run then goes on elsewhere or breaks off. Without an available endpoint of the version, the request is refused at once with version_gone and without a time to come back; also if the version goes while it waits. If endpoints of the version serve and have no room, it waits for at most the target latency of its route, as before, without holding up others. A further run at the target of an open order draws on the exposure budget; a move there is only counted.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -74,6 +74,8 @@
     LogUnavailable,
     /// The request is suspected of crashing the endpoints that run it.
     Poison,
+    /// The version of the endpoints' software that began the stream no longer serves.
+    VersionGone,
     /// The request belongs to the other system running alongside this one.
     OtherSystem,
 }
@@ -95,6 +97,7 @@
             Self::EndpointFailed => "endpoint_failed",
             Self::LogUnavailable => "log_unavailable",
             Self::Poison => "poison",
+            Self::VersionGone => "version_gone",
             Self::OtherSystem => "other_system",
         }
     }
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -24,7 +24,7 @@
         RefusalReason::Unauthorised => StatusCode::UNAUTHORIZED,
         RefusalReason::NotFound => StatusCode::NOT_FOUND,
         RefusalReason::KeyConflict => StatusCode::CONFLICT,
-        RefusalReason::KeyExpired => StatusCode::GONE,
+        RefusalReason::KeyExpired | RefusalReason::VersionGone => StatusCode::GONE,
         RefusalReason::Overloaded | RefusalReason::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
         RefusalReason::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         RefusalReason::EndpointFailed => StatusCode::BAD_GATEWAY,
--- a/crates/fleet/src/copies.rs
+++ b/crates/fleet/src/copies.rs
@@ -8,7 +8,8 @@
 use crate::endpoint::Endpoint;
 use crate::fleet::REPORT_TTL;
 use crate::placement::{
-    GenerationSize, MEMORY_FILL_MAX, PlacedRequest, Placement, PlacementRequest, ZonePreference,
+    GenerationSize, MEMORY_FILL_MAX, PlacedRequest, Placement, PlacementRequest, VersionNeed,
+    ZonePreference,
 };
 use crate::scheduling::{DEFAULT_MEMORY_TOKENS, requested_memory};
 use crate::{Fleet, PlacementId};
@@ -39,16 +40,17 @@
 }
 
 impl Fleet {
-    /// The engines of a service, other than those in `tried`, that get new requests and whose
-    /// load is known from a recent report.
+    /// The engines of a service, other than those in `tried`, that a request with this need may
+    /// go to and whose load is known from a recent report.
     #[must_use]
     pub fn copy_hosts(
         &self,
         now: Time,
         service: &ServiceName,
+        version: VersionNeed,
         tried: &[EndpointId],
     ) -> Vec<CopyHost> {
-        let request = copy_request(service, TokenCount::ZERO);
+        let request = copy_request(service, TokenCount::ZERO, version);
         let available = self.available(now, &request, tried);
         let hosts = available.into_iter().filter_map(|id| {
             let endpoint = self.endpoints.get(&id)?;
@@ -115,12 +117,14 @@
     }
 
     /// Places a generation at the engine that has this copy of it. Returns `None` if the engine
-    /// has restarted since, or gets no requests now; the copy remains counted.
+    /// has restarted since, gets no requests now, or has no longer the version that the
+    /// generation needs; the copy remains counted.
     pub fn place_at_copy(
         &mut self,
         now: Time,
         copy: PlacementId,
         service: &ServiceName,
+        version: VersionNeed,
         size: GenerationSize,
     ) -> Option<PlacedRequest> {
         let id = self.copies.get(&copy)?.endpoint.clone();
@@ -129,11 +133,20 @@
             .catalog
             .as_ref()
             .and_then(|catalog| catalog.service(service).cloned());
-        if !self.is_available(now, &id) || !self.may_send_to(now, &id, spec.as_ref(), entries) {
+        let mut request = copy_request(service, size.prompt_tokens, version);
+        request.generation = Some(size);
+        let has_version = match &request.version {
+            VersionNeed::Any => true,
+            VersionNeed::Only(_) => !self
+                .restrict_versions(&request, vec![id.clone()])
+                .is_empty(),
+        };
+        if !has_version
+            || !self.is_available(now, &id)
+            || !self.may_send_to(now, &id, spec.as_ref(), entries)
+        {
             return None;
         }
-        let mut request = copy_request(service, size.prompt_tokens);
-        request.generation = Some(size);
         match self.assign(now, id, &request) {
             Placement::Placed(place) => Some(place),
             Placement::NoCapacity | Placement::NoEndpoint => None,
@@ -163,7 +176,11 @@
     }
 }
 
-fn copy_request(service: &ServiceName, tokens: TokenCount) -> PlacementRequest {
+fn copy_request(
+    service: &ServiceName,
+    tokens: TokenCount,
+    version: VersionNeed,
+) -> PlacementRequest {
     PlacementRequest {
         service: service.clone(),
         generation: Some(GenerationSize {
@@ -175,6 +192,7 @@
         wanted_by: None,
         priority: PriorityLevel::default(),
         gap_target: None,
+        version,
     }
 }
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -7,6 +7,7 @@
 
 use lentil_catalog::Catalog;
 use lentil_core::{EndpointId, ServiceName, Span, Time, TokenCount, ZoneId};
+use lentil_rollout::Version;
 
 use crate::copies::EngineCopy;
 use crate::departed::Departed;
@@ -167,8 +168,10 @@
     /// Copies of this entry's running generations at engines other than their own.
     pub(crate) copies: HashMap<PlacementId, EngineCopy>,
     /// Tokens of running generations that must move and have no room yet.
-    pub(crate) displaced: BTreeMap<ServiceName, TokenCount>,
+    pub(crate) displaced: BTreeMap<ServiceName, BTreeMap<Option<Version>, TokenCount>>,
     pub(crate) version_rules: BTreeMap<ServiceName, Arc<VersionRules>>,
+    /// Versions that roll-outs have rolled back.
+    pub(crate) rolled_back: BTreeMap<ServiceName, BTreeSet<Version>>,
 }
 
 impl Fleet {
@@ -194,6 +197,7 @@
             copies: HashMap::new(),
             displaced: BTreeMap::new(),
             version_rules: BTreeMap::new(),
+            rolled_back: BTreeMap::new(),
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -45,7 +45,9 @@
 pub use followed::FollowedEngines;
 pub use in_flight::{AttemptResult, PlacementId};
 pub use named_limit::{LimitChange, LimitNotice, LimitedCapacity};
-pub use placement::{GenerationSize, PlacedRequest, Placement, PlacementRequest, ZonePreference};
+pub use placement::{
+    GenerationSize, PlacedRequest, Placement, PlacementRequest, VersionNeed, ZonePreference,
+};
 pub use rest::RestNotice;
 pub use retry_budget::{RetryBudget, RetryBudgetConfig};
 pub use version_rules::{EndpointRange, VersionRules, VersionState};
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -4,6 +4,7 @@
 
 use lentil_catalog::PriorityLevel;
 use lentil_core::{EndpointId, ServiceName, Span, Time, TokenCount, ZoneId};
+use lentil_rollout::Version;
 
 use crate::PlacementId;
 
@@ -43,6 +44,19 @@
     CopySource(ZoneId),
 }
 
+/// Which versions of a service's software a request may be placed at.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum VersionNeed {
+    /// Those that get new requests by the service's [`VersionRules`](crate::VersionRules).
+    #[default]
+    Any,
+    /// Only the version that began the request's stream, or endpoints that state no valid
+    /// version if it is `None`. Two versions may write different events for the same request,
+    /// so that the stream can't go on at another one. All available endpoints of the version
+    /// are used, whatever the rules say, unless a roll-out has rolled the version back.
+    Only(Option<Version>),
+}
+
 /// A request to place at an endpoint.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PlacementRequest {
@@ -61,6 +75,8 @@
     pub priority: PriorityLevel,
     /// Longest pause between two events of a stream, if its route states one.
     pub gap_target: Option<Span>,
+    /// Which versions of the service's software it may be placed at.
+    pub version: VersionNeed,
 }
 
 /// A request that was placed at an endpoint.
@@ -72,6 +88,9 @@
     pub address: SocketAddr,
     /// Identifies the request in later calls to [`Fleet`](crate::Fleet).
     pub id: PlacementId,
+    /// The version that the endpoint stated when the request was placed; `None` if it stated no
+    /// valid one.
+    pub version: Option<Version>,
 }
 
 /// The result of placing a request.
@@ -81,6 +100,6 @@
     Placed(PlacedRequest),
     /// Endpoints are available, but none has capacity now.
     NoCapacity,
-    /// No endpoint of the service is available.
+    /// No endpoint of the service is available, or none of the version that the request needs.
     NoEndpoint,
 }
--- a/crates/fleet/src/scheduling.rs
+++ b/crates/fleet/src/scheduling.rs
@@ -133,7 +133,7 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
-        self.restrict_versions(&request.service, available)
+        self.restrict_versions(request, available)
     }
 
     /// The available endpoints that have capacity, with their scores.
@@ -227,6 +227,7 @@
             limit.record_send(now, sharing);
         }
         let address = endpoint.record.address;
+        let version = endpoint.record.version.clone();
         let placement_id = PlacementId(self.next_placement_id);
         self.next_placement_id += 1;
         let generation = request.generation.unwrap_or(GenerationSize {
@@ -251,6 +252,7 @@
             endpoint: id,
             address,
             id: placement_id,
+            version,
         })
     }
 
--- a/crates/fleet/src/version_rules.rs
+++ b/crates/fleet/src/version_rules.rs
@@ -1,6 +1,6 @@
 //! Restriction of new requests to some versions of a service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use lentil_core::{EndpointId, ServiceName, Time, ZoneId};
@@ -9,6 +9,7 @@
 use crate::Fleet;
 use crate::endpoint::Endpoint;
 use crate::fleet::REPORT_TTL;
+use crate::placement::{PlacedRequest, PlacementRequest, VersionNeed};
 
 /// Which of the available endpoints of a version get new requests, in the order of their
 /// names. All entries use the same ones, so that these see the load of a full deployment.
@@ -71,6 +72,45 @@
         };
     }
 
+    /// Sets the versions of a service that roll-outs have rolled back. They get no request, not
+    /// even one whose stream they began.
+    pub fn set_rolled_back(&mut self, service: &ServiceName, versions: BTreeSet<Version>) {
+        if versions.is_empty() {
+            self.rolled_back.remove(service);
+        } else {
+            self.rolled_back.insert(service.clone(), versions);
+        }
+    }
+
+    /// Whether a stream that this version began may go on at it.
+    fn may_continue(&self, service: &ServiceName, version: Option<&Version>) -> bool {
+        let rolled_back = self.rolled_back.get(service);
+        !version.is_some_and(|version| rolled_back.is_some_and(|it| it.contains(version)))
+    }
+
+    /// Whether an endpoint of the version that a request needs is available, also one that the
+    /// request was sent to before. `true` if it needs no particular one.
+    #[must_use]
+    pub fn serves_version(&self, now: Time, service: &ServiceName, need: &VersionNeed) -> bool {
+        let VersionNeed::Only(version) = need else {
+            return true;
+        };
+        let mut endpoints = self.endpoints.iter();
+        self.may_continue(service, version.as_ref())
+            && endpoints.any(|(id, endpoint)| {
+                endpoint.record.service == *service
+                    && endpoint.record.version == *version
+                    && self.is_available(now, id)
+            })
+    }
+
+    /// Whether the endpoint that a request was placed at is still the one that was chosen: it
+    /// has not restarted since and states the same version.
+    #[must_use]
+    pub fn is_unchanged(&self, place: &PlacedRequest) -> bool {
+        self.is_in_flight(place.id) && self.version(&place.endpoint) == place.version.as_ref()
+    }
+
     /// The version of an endpoint's software.
     #[must_use]
     pub fn version(&self, id: &EndpointId) -> Option<&Version> {
@@ -110,13 +150,20 @@
         services
     }
 
-    /// Keeps the endpoints that the service's rules allow.
+    /// Keeps the endpoints of the version that a request needs, or else those that the service's
+    /// rules allow.
     pub(crate) fn restrict_versions(
         &self,
-        service: &ServiceName,
+        request: &PlacementRequest,
         mut available: Vec<EndpointId>,
     ) -> Vec<EndpointId> {
-        let Some(rules) = self.version_rules.get(service) else {
+        if let VersionNeed::Only(version) = &request.version {
+            let version = version.as_ref();
+            let may_continue = self.may_continue(&request.service, version);
+            available.retain(|id| may_continue && self.version(id) == version);
+            return available;
+        }
+        let Some(rules) = self.version_rules.get(&request.service) else {
             return available;
         };
         let mut available_by_version: BTreeMap<&Version, u32> = BTreeMap::new();
--- a/crates/fleet/tests/it/copies.rs
+++ b/crates/fleet/tests/it/copies.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 
 use lentil_core::TokenCount;
-use lentil_fleet::{Fleet, GenerationSize, LoadNotice, PacePercent, Placement, ZonePreference};
+use lentil_fleet::{
+    Fleet, GenerationSize, LoadNotice, PacePercent, Placement, VersionNeed, ZonePreference,
+};
+use lentil_rollout::Version;
 
 use crate::fixtures::{chosen, fleet, id, ms, record, report, request};
 
@@ -25,8 +28,13 @@
     fleet
 }
 
+/// Tokens at endpoints that state no version.
+fn of_version(tokens: u32) -> BTreeMap<Option<Version>, TokenCount> {
+    BTreeMap::from([(None, TokenCount::new(tokens))])
+}
+
 fn forecast(fleet: &Fleet, number: u32) -> u32 {
-    let hosts = fleet.copy_hosts(ms(10), &"writers".parse().unwrap(), &[]);
+    let hosts = fleet.copy_hosts(ms(10), &"writers".parse().unwrap(), VersionNeed::Any, &[]);
     let mut hosts = hosts.into_iter();
     let host = hosts.find(|host| host.endpoint == id(number)).unwrap();
     host.memory_forecast.get()
@@ -63,7 +71,8 @@
     let mut restarted = record(3);
     restarted.started_at_ms = Some(99);
     fleet.upsert_endpoint(ms(10), restarted);
-    let placed = copies.map(|copy| fleet.place_at_copy(ms(20), copy, &service, size));
+    let placed =
+        copies.map(|copy| fleet.place_at_copy(ms(20), copy, &service, VersionNeed::Any, size));
     assert_eq!(
         placed.map(|place| place.map(|place| place.endpoint)),
         [Some(id(1)), None, None]
@@ -77,7 +86,7 @@
     let mut fleet = adaptive_fleet(&[1_000, 20_000]);
     let displace = |fleet: &mut Fleet, tokens| {
         let service = "writers".parse().unwrap();
-        fleet.set_displaced(BTreeMap::from([(service, TokenCount::new(tokens))]));
+        fleet.set_displaced(BTreeMap::from([(service, of_version(tokens))]));
     };
     let new = request(3_000, 400);
     let mut moved = new.clone();
@@ -98,7 +107,7 @@
     let mut fleet = fleet();
     fleet.upsert_endpoint(ms(0), record(1));
     let service = "writers".parse().unwrap();
-    fleet.set_displaced(BTreeMap::from([(service, TokenCount::new(60_000))]));
+    fleet.set_displaced(BTreeMap::from([(service, of_version(60_000))]));
     let placement = fleet.place(ms(10), &request(3_000, 400), &[]);
     assert_eq!(chosen(&placement), Some(id(1)));
 }
--- a/crates/fleet/tests/it/fixtures.rs
+++ b/crates/fleet/tests/it/fixtures.rs
@@ -9,7 +9,7 @@
 use lentil_core::{ByteCount, ConfigVersion, EndpointId, Span, Time, TokenCount};
 use lentil_fleet::{
     EndpointRecord, EngineReport, EngineStage, Fleet, FleetConfig, GenerationSize, Placement,
-    PlacementRequest, ZonePreference,
+    PlacementRequest, VersionNeed, ZonePreference,
 };
 
 pub(crate) const MEMORY_TOKENS: u32 = 34_000;
@@ -159,6 +159,7 @@
         zone_preference: ZonePreference::Local,
         jitter_seed: 7,
         gap_target: None,
+        version: VersionNeed::Any,
         wanted_by: None,
         priority: PriorityLevel::new(1),
     }
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -22,4 +22,5 @@
 mod retry_budget;
 mod reused_address;
 mod stream_pauses;
+mod version_need;
 mod version_rules;
--- a/crates/fleet/tests/it/version_rules.rs
+++ b/crates/fleet/tests/it/version_rules.rs
@@ -6,8 +6,8 @@
 use lentil_catalog::PriorityLevel;
 use lentil_core::EndpointId;
 use lentil_fleet::{
-    AttemptResult, EndpointRange, EndpointRecord, Fleet, Placement, PlacementRequest, VersionRules,
-    ZonePreference,
+    AttemptResult, EndpointRange, EndpointRecord, Fleet, Placement, PlacementRequest, VersionNeed,
+    VersionRules, ZonePreference,
 };
 
 use crate::fixtures::{fleet, id, ms, record};
@@ -43,6 +43,7 @@
             wanted_by: None,
             priority: PriorityLevel::default(),
             gap_target: None,
+            version: VersionNeed::Any,
         };
         if let Placement::Placed(place) = fleet.place(ms(1), &request, &[]) {
             fleet.finish(ms(1), place.id, AttemptResult::Inconclusive);
--- a/crates/gateway/src/adaptive.rs
+++ b/crates/gateway/src/adaptive.rs
@@ -166,7 +166,7 @@
         first_due: job.deadline.min(arrived + job.route.target_latency),
         deadline: job.deadline,
         cost,
-        restricted: !wait.excluded.is_empty(),
+        restricted: wait.is_restricted(),
         continued,
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,8 +9,11 @@
     ConfigVersion, EndpointId, Fingerprint, NotRunProof, OrganisationId, PromptPartId, Refusal,
     RefusalReason, ServiceName, Span, Time, TokenCount,
 };
-use lentil_fleet::{AttemptLimit, AttemptResult, LimitChange, LimitNotice, RestNotice};
+use lentil_fleet::{
+    AttemptLimit, AttemptResult, LimitChange, LimitNotice, RestNotice, VersionNeed,
+};
 use lentil_handoff::{BodyFraming, EndedBody, StopOrder};
+use lentil_rollout::Version;
 
 use crate::announcements;
 use crate::body::{CollectError, ResponseBody};
@@ -50,7 +53,9 @@
     pub(crate) service: ServiceName,
     pub(crate) organisation: Option<OrganisationId>,
     pub(crate) rank: PriorityLevel,
-    pub(crate) version: ConfigVersion,
+    pub(crate) config_version: ConfigVersion,
+    /// The version that the request's stream must stay at.
+    version: RefCell<VersionNeed>,
     /// Identifies the request by its content, also when a caller repeats it.
     pub(crate) fingerprint: Fingerprint,
     pub(crate) arrived: Time,
@@ -104,7 +109,7 @@
         route: Route,
         service: ServiceName,
         organisation: Option<(OrganisationId, Option<PriorityLevel>)>,
-        version: ConfigVersion,
+        config_version: ConfigVersion,
         (arrived, deadline): (Time, Time),
         request: InboundRequest,
     ) -> Self {
@@ -121,7 +126,8 @@
             service,
             organisation: organisation.map(|(id, _)| id),
             rank,
-            version,
+            config_version,
+            version: RefCell::default(),
             arrived,
             deadline,
             attempts: Cell::new(AttemptLimit::new(route.endpoints_max)),
@@ -180,7 +186,12 @@
             return Refusal::unknown(reason);
         }
         let proof = proof.unwrap_or(NotRunProof::NeverSent);
-        Refusal::not_run(proof, reason).retry_after(RETRY_AFTER_REFUSAL)
+        let refusal = Refusal::not_run(proof, reason);
+        match reason {
+            // A version that is gone does not return.
+            RefusalReason::VersionGone => refusal,
+            _ => refusal.retry_after(RETRY_AFTER_REFUSAL),
+        }
     }
 
     /// Takes a retry from the budget. Returns `false` if the budget or the route's
@@ -211,6 +222,17 @@
         self.attempts.set(attempts);
     }
 
+    /// Restricts further attempts to endpoints of this version, or to those that state no valid
+    /// one.
+    pub(crate) fn require_version(&self, version: Option<Version>) {
+        self.version.replace(VersionNeed::Only(version));
+    }
+
+    /// Which versions the request may be placed at.
+    pub(crate) fn version_need(&self) -> VersionNeed {
+        self.version.borrow().clone()
+    }
+
     /// Excludes an endpoint from further attempts.
     pub(crate) fn exclude(&self, endpoint: EndpointId) {
         self.excluded.borrow_mut().push(endpoint);
@@ -227,7 +249,7 @@
             fingerprint:% = self.fingerprint,
             route = self.route.name.as_str(),
             service:% = self.service,
-            version:% = self.version,
+            version:% = self.config_version,
             took_ms = gateway.now().since(self.arrived).as_ms(),
             trail = self.notes.borrow().join("; ").as_str(),
             outcome = outcome;
@@ -267,7 +289,15 @@
             self.check_config_trusted(job.organisation.as_ref())?;
             job.check_poison(self)?;
             match self.send_once(job, &permit, resume.clone()).await {
-                SendOutcome::Answered(reply) => return Ok(OpenedResponse { reply, permit }),
+                SendOutcome::Answered(reply) => {
+                    if self.keeps_version(job, &permit) {
+                        return Ok(OpenedResponse { reply, permit });
+                    }
+                    job.note(format!("{} has changed since", permit.place.endpoint));
+                    if !job.route.is_retryable() || !job.take_retry(self) {
+                        return Err(job.refuse(RefusalReason::EndpointFailed, None));
+                    }
+                }
                 SendOutcome::NotSent => {
                     unreached += 1;
                     if unreached >= UNREACHED_ENDPOINTS_MAX {
@@ -300,12 +330,28 @@
         }
     }
 
+    /// Whether the endpoint that a request was placed at may write events of its stream. An
+    /// endpoint that restarts between its choice and its answer may have another version.
+    pub(crate) fn keeps_version(&self, job: &Job, permit: &Permit) -> bool {
+        match job.version_need() {
+            VersionNeed::Any => true,
+            VersionNeed::Only(version) => {
+                permit.place.version == version && self.fleet.borrow().is_unchanged(&permit.place)
+            }
+        }
+    }
+
     /// Reserves capacity at an endpoint that the request was not sent to before.
     async fn place_job(&self, job: &Job, generated_tokens: TokenCount) -> Result<Permit, Refusal> {
         let wait = Span::from_us(job.route.target_latency.as_us() / 100 * QUEUE_WAIT_PERCENT);
         let wait_until = job.deadline.min(self.now() + wait);
         let excluded = job.excluded.borrow().clone();
         let need = Self::need(job, generated_tokens);
+        // Endpoints of a version that is gone don't return, so that there is nothing to wait for.
+        if self.is_version_gone(self.now(), &need) {
+            job.note("the version of the stream is gone".to_owned());
+            return Err(job.refuse(RefusalReason::VersionGone, None));
+        }
         let found = if self.fleet.borrow().is_adaptive(&job.service) {
             let wait = Wait {
                 need,
@@ -317,7 +363,10 @@
             Either::Right(self.wait_for_place(job, need, &excluded, wait_until))
         };
         let found = found.await;
-        found.map_err(|refusal| {
+        found.map_err(|mut refusal| {
+            if self.is_version_gone(self.now(), &Self::need(job, generated_tokens)) {
+                refusal.reason = RefusalReason::VersionGone;
+            }
             job.note(format!("no capacity: {}", refusal.reason));
             let refusal = job.refuse_for(refusal.reason, refusal.retry_after);
             self.with_return_time(job, generated_tokens, refusal)
@@ -492,7 +541,7 @@
             service: job.service.clone(),
             route: job.route.name.clone(),
             zone: zone.clone(),
-            version: fleet.version(&place.endpoint).cloned(),
+            version: place.version.clone(),
             sent_at: self.now(),
             deadline: job.deadline,
             counts: !self.poison.is_suspect(job.fingerprint),
--- a/crates/gateway/src/backups.rs
+++ b/crates/gateway/src/backups.rs
@@ -6,8 +6,9 @@
 use std::rc::Rc;
 
 use lentil_core::{EndpointId, ServiceName, Time, TokenCount};
-use lentil_fleet::{Fleet, GenerationSize, PlacementId, PlacementRequest};
+use lentil_fleet::{Fleet, GenerationSize, PlacementId, PlacementRequest, VersionNeed};
 use lentil_handoff::{BackupCandidate, BackupPlanner, BackupRequest};
+use lentil_rollout::Version;
 
 use crate::attempt::Job;
 use crate::endpoints::KvCopy;
@@ -106,12 +107,10 @@
         let own = &permit.place.endpoint;
         let fleet = self.fleet.borrow();
         let zone = fleet.zone_of(own);
-        let hosts = fleet.copy_hosts(now, &job.service, std::slice::from_ref(own));
-        // During a roll-out, a run never continues at another version than the one it began at.
-        let version = fleet.version(own);
+        let version = VersionNeed::Only(permit.place.version.clone());
+        let hosts = fleet.copy_hosts(now, &job.service, version, std::slice::from_ref(own));
         hosts
             .into_iter()
-            .filter(|host| fleet.version(&host.endpoint) == version)
             .map(|host| BackupCandidate {
                 is_same_zone: Some(&host.zone) == zone,
                 memory_total: host.memory_total,
@@ -125,18 +124,20 @@
     }
 
     /// Reserves capacity for a run at its backup engine. Returns `None` if the engine gets no
-    /// requests now.
+    /// requests now or has another version than `version`.
     pub(crate) fn place_at_backup(
         &self,
         service: &ServiceName,
         backup: &Backup,
+        version: Option<Version>,
         size: GenerationSize,
     ) -> Option<Permit> {
         let now = self.now();
+        let version = VersionNeed::Only(version);
         let place = self
             .fleet
             .borrow_mut()
-            .place_at_copy(now, backup.id, service, size)?;
+            .place_at_copy(now, backup.id, service, version, size)?;
         Some(self.permit(place))
     }
 
@@ -184,7 +185,7 @@
 
     /// Tells the fleet how many tokens of runs at leaving engines still need room.
     pub(crate) fn update_displaced(&self, now: Time) {
-        let mut displaced: BTreeMap<ServiceName, TokenCount> = BTreeMap::new();
+        let mut displaced: BTreeMap<ServiceName, BTreeMap<_, TokenCount>> = BTreeMap::new();
         for run in self.runs.all() {
             let leaving = self.fleet.borrow().terminates_at(&run.endpoint());
             let Some(terminates_at) = leaving.filter(|at| !at.has_passed(now)) else {
@@ -193,7 +194,8 @@
             let needs_room = !run.status(now).ends_in_place(now, terminates_at);
             if needs_room && self.supports_moves(&run.service) {
                 let tokens = run.cached_tokens.get() + run.remaining_tokens.get();
-                *displaced.entry(run.service.clone()).or_default() += tokens;
+                let versions = displaced.entry(run.service.clone()).or_default();
+                *versions.entry(run.version()).or_default() += tokens;
             }
         }
         self.fleet.borrow_mut().set_displaced(displaced);
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -5,7 +5,9 @@
 
 use lentil_catalog::PriorityLevel;
 use lentil_core::{EndpointId, Span, Time, TokenCount};
-use lentil_fleet::{GenerationSize, LeavingEndpoint, PlacementRequest, ZonePreference};
+use lentil_fleet::{
+    GenerationSize, LeavingEndpoint, PlacementRequest, VersionNeed, ZonePreference,
+};
 use lentil_handoff::{Action, MigrationPlanner, RunStatus};
 
 use crate::endpoints::{CopyError, CopyRequest, KvCopy};
@@ -116,13 +118,15 @@
             wanted_by: None,
             priority: PriorityLevel::default(),
             gap_target: run.gap_target,
+            // Another version may not understand the copied memory either.
+            version: VersionNeed::Only(run.version()),
         };
         let mut tried = self.rejected_by.get(&run.key).cloned().unwrap_or_default();
         tried.push(self.leaving.endpoint.clone());
         tried.extend_from_slice(busy);
         let permit = self
             .gateway
-            .try_place_beside(self.gateway.now(), &need, &tried, &self.leaving.endpoint)
+            .try_place(self.gateway.now(), &need, &tried)
             .ok()?;
         permit.record_progress(TokenCount::ZERO);
         Some(permit)
@@ -200,7 +204,16 @@
         }
     }
 
+    /// Stops a run so that it continues at the engine of `permit`, unless that engine has
+    /// restarted or changed its version since it was chosen: the run would be lost.
     async fn switch(&mut self, run: &Run, permit: Permit, copy: Option<KvCopy>) {
+        if !self.gateway.fleet.borrow().is_unchanged(&permit.place) {
+            let endpoint = &permit.place.endpoint;
+            log::info!(request:% = run.request, to:% = endpoint; "run not moved, as the target engine has changed");
+            self.plan.record_failure(self.gateway.now(), run.key);
+            self.release_copy(permit, copy);
+            return;
+        }
         let request = self.copy_request(run, &permit, true);
         let continuation = run.prepare_switch();
         let started_at = self.gateway.now();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -562,9 +562,9 @@
     /// Decides anew about roll-outs.
     pub(crate) fn refresh_rollouts(&self) {
         let has_observers = !self.common_engines.borrow().is_empty();
-        let fleet = self.fleet.borrow();
         let now = self.now();
-        self.rollouts.refresh(now, &fleet, has_observers);
+        self.rollouts
+            .refresh(now, &mut self.fleet.borrow_mut(), has_observers);
         for progress in self.rollouts.progress(now) {
             self.metrics.record_rollout(&progress);
         }
@@ -633,7 +633,8 @@
         }
     }
 
-    /// Reserves capacity at an endpoint, without waiting.
+    /// Reserves capacity at an endpoint, without waiting. Frees copies at an engine that has no
+    /// room because of them.
     pub(crate) fn try_place(
         &self,
         now: Time,
@@ -641,33 +642,6 @@
         excluded: &[EndpointId],
     ) -> Result<Permit, RefusalReason> {
         let place = |fleet: &mut Fleet| self.rollouts.place(now, fleet, need, excluded);
-        self.place_freeing_copies(now, need, excluded, place)
-    }
-
-    /// Like [`Self::try_place`], at an endpoint of the same version as `source`, for a run
-    /// that continues there.
-    pub(crate) fn try_place_beside(
-        &self,
-        now: Time,
-        need: &PlacementRequest,
-        excluded: &[EndpointId],
-        source: &EndpointId,
-    ) -> Result<Permit, RefusalReason> {
-        let place = |fleet: &mut Fleet| {
-            self.rollouts
-                .place_beside(now, fleet, need, excluded, source)
-        };
-        self.place_freeing_copies(now, need, excluded, place)
-    }
-
-    /// Places a request, after freeing copies at an engine that has no room because of them.
-    fn place_freeing_copies(
-        &self,
-        now: Time,
-        need: &PlacementRequest,
-        excluded: &[EndpointId],
-        place: impl Fn(&mut Fleet) -> Placement,
-    ) -> Result<Permit, RefusalReason> {
         let mut placement = place(&mut self.fleet.borrow_mut());
         while placement == Placement::NoCapacity && self.free_copies_for(now, need, excluded) {
             placement = place(&mut self.fleet.borrow_mut());
@@ -675,10 +649,19 @@
         match placement {
             Placement::Placed(place) => Ok(self.permit(place)),
             Placement::NoCapacity => Err(RefusalReason::Overloaded),
+            Placement::NoEndpoint if self.is_version_gone(now, need) => {
+                Err(RefusalReason::VersionGone)
+            }
             Placement::NoEndpoint => Err(RefusalReason::EndpointFailed),
         }
     }
 
+    /// Whether no endpoint of the version that a request needs is available.
+    pub(crate) fn is_version_gone(&self, now: Time, need: &PlacementRequest) -> bool {
+        let fleet = self.fleet.borrow();
+        !fleet.serves_version(now, &need.service, &need.version)
+    }
+
     pub(crate) fn permit(&self, place: PlacedRequest) -> Permit {
         Permit {
             place,
@@ -734,8 +717,8 @@
         if waiting == 0 {
             match self.try_place(now, &wait.need, &wait.excluded) {
                 Ok(permit) => return Some(Ok(permit)),
-                Err(RefusalReason::EndpointFailed) => {
-                    return Some(Err(not_sent(RefusalReason::EndpointFailed)));
+                Err(reason @ (RefusalReason::EndpointFailed | RefusalReason::VersionGone)) => {
+                    return Some(Err(not_sent(reason)));
                 }
                 Err(_) => {}
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -108,6 +108,7 @@
     pub(crate) backups: Family<MoveLabels, Counter>,
     body_ends: Family<BodyEndLabels, Counter>,
     pub(crate) retries: Counter,
+    pub(crate) version_gone: Counter,
     pub(crate) waiting: Gauge,
     queued: Family<QueuedLabels, Gauge>,
     rejections: Family<RejectionLabels, Counter>,
@@ -135,6 +136,7 @@
         let backups = Family::default();
         let body_ends = Family::default();
         let retries = Counter::default();
+        let version_gone = Counter::default();
         let waiting = Gauge::default();
         let queued = Family::default();
         let rejections = Family::default();
@@ -161,6 +163,11 @@
             body_ends.clone(),
         );
         registry.register("repeats", "Requests sent once more", retries.clone());
+        registry.register(
+            "version_gone",
+            "Streams that broke off, as no endpoint of their version was available",
+            version_gone.clone(),
+        );
         registry.register("waiting", "Requests that wait for a place", waiting.clone());
         registry.register(
             "queued",
@@ -208,6 +215,7 @@
             backups,
             body_ends,
             retries,
+            version_gone,
             waiting,
             queued,
             rejections,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,15 +6,16 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::stream::LocalBoxStream;
+use http::{HeaderMap, StatusCode};
 use lentil_core::{Refusal, RefusalReason, Span, Time, TokenCount};
-use lentil_fleet::{AttemptResult, GenerationSize};
+use lentil_fleet::{AttemptResult, GenerationSize, VersionNeed};
 use lentil_handoff::{BodyFraming, EndedBody, StopOrder};
 use lentil_stream::{EventSplitter, SplitError};
 
 use crate::attempt::{Job, OpenedResponse, seconds};
 use crate::backups::Backup;
 use crate::body::{BodyInterrupted, ChunkJoiner, ResponseBody};
-use crate::endpoints::{Attestation, KvCopy, Resume, SendError};
+use crate::endpoints::{Attestation, KvCopy, Reply, Resume, SendError};
 use crate::gateway::{Gateway, Permit};
 use crate::poison::{self, AnswerProgress, LostAnswer};
 use crate::request::GatewayResponse;
@@ -35,6 +36,9 @@
     job: Rc<Job>,
     permit: Permit,
     run_guard: RunGuard,
+    /// The status and the headers of the present engine's answer. The caller gets those of the
+    /// engine that wrote the first event.
+    head: (StatusCode, HeaderMap),
     framing: BodyFraming,
     body: ReplyBody,
     splitter: EventSplitter,
@@ -55,6 +59,10 @@
     tokens_at_first: TokenCount,
     /// Whether the run has continued at its backup engine.
     recovered: bool,
+    /// Whether anything that the present engine wrote has been passed on.
+    passed_on: bool,
+    /// Why the stream could not go on, if it was refused a further run.
+    refused_for: Option<RefusalReason>,
     end_reason: Option<&'static str>,
 }
 
@@ -129,8 +137,9 @@
         .open_response(&job, resume, TokenCount::ZERO)
         .await?;
     let OpenedResponse { reply, permit } = opened;
-    let (status, headers) = (reply.status, reply.headers);
+    let status = reply.status;
     if !status.is_success() {
+        let headers = reply.headers;
         let body = gateway
             .response_buffers
             .collect(reply.body)
@@ -145,19 +154,16 @@
             body,
         });
     }
-    let mut relay = StreamRelay::new(
-        Rc::clone(&gateway),
-        Rc::clone(&job),
-        permit,
-        (reply.framing, reply.body),
-    );
+    let mut relay = StreamRelay::new(Rc::clone(&gateway), Rc::clone(&job), permit, reply);
     let first = match relay.next().await {
         Some(Ok(first)) => first,
         Some(Err(BodyInterrupted)) => {
             relay.end_reason = Some("lost before the first event");
-            return Err(job.refuse(RefusalReason::EndpointFailed, None));
+            let reason = relay.refused_for.unwrap_or(RefusalReason::EndpointFailed);
+            return Err(job.refuse(reason, None));
         }
         None => {
+            let (status, headers) = relay.head.clone();
             return Ok(GatewayResponse::Endpoint {
                 status,
                 headers,
@@ -165,6 +171,7 @@
             });
         }
     };
+    let (status, headers) = relay.head.clone();
     let took = gateway.now().since(job.arrived);
     gateway.metrics.first_event_s.observe(seconds(took));
     job.note(format!("first event at {} ms", took.as_ms()));
@@ -189,12 +196,7 @@
 }
 
 impl StreamRelay {
-    fn new(
-        gateway: Rc<Gateway>,
-        job: Rc<Job>,
-        permit: Permit,
-        (framing, body): (BodyFraming, ReplyBody),
-    ) -> Self {
+    fn new(gateway: Rc<Gateway>, job: Rc<Job>, permit: Permit, reply: Reply) -> Self {
         let (prompt_tokens, output) = job.token_estimate().unwrap_or_default();
         let run_guard = gateway.runs.register(
             job.request.id.clone(),
@@ -215,8 +217,9 @@
             job,
             permit,
             run_guard,
-            framing,
-            body,
+            head: (reply.status, reply.headers),
+            framing: reply.framing,
+            body: reply.body,
             splitter: EventSplitter::default(),
             prompt_tokens,
             generated_tokens: TokenCount::ZERO,
@@ -224,6 +227,8 @@
             longest_pause: Span::ZERO,
             tokens_at_first: TokenCount::ZERO,
             recovered: false,
+            passed_on: false,
+            refused_for: None,
             end_reason: None,
         }
     }
@@ -241,22 +246,37 @@
     /// Returns the next complete events, or `None` at the end of the stream.
     async fn next(&mut self) -> Option<Result<Bytes, BodyInterrupted>> {
         loop {
-            let cut = match self.drain_events() {
-                Ok(Some(bytes)) => return Some(Ok(bytes)),
-                Err(SplitError::TooLong) => return Some(Err(self.fail("event too long"))),
-                Err(SplitError::NoField) => {
-                    self.job.note("bytes that are no event".to_owned());
-                    Cut::Open
-                }
-                Ok(None) => match self.next_bytes().await {
-                    Some(Ok(bytes)) => {
-                        self.splitter.push(&bytes);
-                        continue;
+            let is_unconfirmed =
+                !self.passed_on && !self.gateway.keeps_version(&self.job, &self.permit);
+            let cut = if is_unconfirmed {
+                let endpoint = &self.permit.place.endpoint;
+                self.job
+                    .note(format!("{endpoint} has changed; its answer is dropped"));
+                self.splitter.clear();
+                Cut::Ended
+            } else {
+                match self.drain_events() {
+                    Ok(Some(bytes)) => {
+                        self.record_passed_on();
+                        return Some(Ok(bytes));
+                    }
+                    Err(SplitError::TooLong) => return Some(Err(self.fail("event too long"))),
+                    Err(SplitError::NoField) => {
+                        self.job.note("bytes that are no event".to_owned());
+                        Cut::Open
                     }
-                    Some(Err(cut)) => cut,
-                    None if self.splitter.has_partial_event() || !self.has_begun() => Cut::Ended,
-                    None => Cut::None,
-                },
+                    Ok(None) => match self.next_bytes().await {
+                        Some(Ok(bytes)) => {
+                            self.splitter.push(&bytes);
+                            continue;
+                        }
+                        Some(Err(cut)) => cut,
+                        None if self.splitter.has_partial_event() || !self.has_begun() => {
+                            Cut::Ended
+                        }
+                        None => Cut::None,
+                    },
+                }
             };
             match self.handle_body_end(cut).await {
                 BodyEnd::Continued => {}
@@ -272,6 +292,25 @@
         }
     }
 
+    /// Binds the stream to the version of the engine whose bytes are the first to be passed on.
+    fn record_passed_on(&mut self) {
+        if std::mem::replace(&mut self.passed_on, true)
+            || self.job.version_need() != VersionNeed::Any
+        {
+            return;
+        }
+        let place = &self.permit.place;
+        let fleet = self.gateway.fleet.borrow();
+        // A restart breaks the connections of the process before, so that the bytes are those
+        // of the engine that is known now.
+        let version = if fleet.is_in_flight(place.id) {
+            place.version.clone()
+        } else {
+            fleet.version(&place.endpoint).cloned()
+        };
+        self.job.require_version(version);
+    }
+
     /// Returns whether the caller has received an event, from this response or, if it
     /// resumes a stream, before.
     const fn has_begun(&self) -> bool {
@@ -494,7 +533,10 @@
             prompt_tokens: run.cached_tokens.get(),
             expected_output_tokens: run.remaining_tokens.get(),
         };
-        let permit = self.gateway.place_at_backup(&job.service, &backup, size);
+        let version = self.permit.place.version.clone();
+        let permit = self
+            .gateway
+            .place_at_backup(&job.service, &backup, version, size);
         if permit.is_none() {
             let endpoint = &backup.endpoint;
             job.note(format!("backup engine {endpoint} takes no requests"));
@@ -548,6 +590,9 @@
             last_event_id: self.last_event_id,
             kv_copy: Some(kv_copy),
         };
+        if !self.has_copy_engine(other.as_ref()) {
+            return Continued::NotRun;
+        }
         let permit = other.as_ref().unwrap_or(&self.permit);
         let now = self.gateway.now();
         let allowed = self
@@ -574,6 +619,10 @@
                 .record_reply(&self.job, &endpoint, sent_at, reply);
         }
         match response {
+            Ok(_) if !self.has_copy_engine(other.as_ref()) => {
+                origin.count(&self.gateway, "refused");
+                Continued::Settled(self.rerun_or_lose().await)
+            }
             Ok(reply) if reply.status.is_success() && reply.attestation == Attestation::Ran => {
                 self.job.note(format!(
                     "continues at {endpoint} after event {}",
@@ -584,7 +633,7 @@
                     Some(other) => self.replace_permit(other),
                     None => self.replace_backup(self.permit.take_backup()),
                 }
-                self.replace_body(reply.framing, reply.body);
+                self.replace_body(reply);
                 Continued::Settled(BodyEnd::Continued)
             }
             Ok(reply) => {
@@ -626,11 +675,35 @@
         match opened {
             Ok(opened) if opened.reply.status.is_success() => {
                 self.replace_permit(opened.permit);
-                self.replace_body(opened.reply.framing, opened.reply.body);
+                self.replace_body(opened.reply);
                 BodyEnd::Continued
             }
-            Ok(_) | Err(_) => BodyEnd::Lost,
+            Ok(_) => BodyEnd::Lost,
+            Err(refusal) => {
+                if refusal.reason == RefusalReason::VersionGone {
+                    self.gateway.metrics.version_gone.inc();
+                    self.refused_for = Some(refusal.reason);
+                }
+                BodyEnd::Lost
+            }
+        }
+    }
+
+    /// Whether the engine that is to continue the run is still the one that was chosen: that of
+    /// `other` or, without one, the engine that stopped the run and keeps its KV cache.
+    fn has_copy_engine(&self, other: Option<&Permit>) -> bool {
+        let fleet = self.gateway.fleet.borrow();
+        let (place, is_kept) = match other {
+            Some(other) => (&other.place, fleet.is_unchanged(&other.place)),
+            None => (&self.permit.place, fleet.is_in_flight(self.permit.place.id)),
+        };
+        if !is_kept {
+            let endpoint = &place.endpoint;
+            self.job.note(format!(
+                "{endpoint} has changed and does not continue the stream"
+            ));
         }
+        is_kept
     }
 
     /// Replaces the backup engine. The copy at the former one is of no use, as it is not
@@ -654,10 +727,12 @@
         self.permit = permit;
     }
 
-    fn replace_body(&mut self, framing: BodyFraming, body: ReplyBody) {
-        self.framing = framing;
+    fn replace_body(&mut self, reply: Reply) {
+        self.framing = reply.framing;
+        self.head = (reply.status, reply.headers);
+        self.passed_on = false;
         self.run_guard.run.stopped.set(false);
-        self.body = body;
+        self.body = reply.body;
         self.splitter.clear();
         self.stalled_at = self.gateway.now() + self.gateway.bounds.stream_stall_timeout;
     }
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -5,11 +5,11 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use lentil_core::{EndpointId, Offset, Permille, ServiceName, Span, Time};
 use lentil_fleet::{
-    EndpointRange, Fleet, Placement, PlacementId, PlacementRequest, VersionRules, VersionState,
+    AttemptResult, Fleet, Placement, PlacementId, PlacementRequest, VersionNeed, VersionState,
+    ZonePreference,
 };
 use lentil_rollout::{
     Evidence, EvidenceKey, RecordedStatus, RolloutLimits, RolloutOrder, Stage, Version,
@@ -104,6 +104,7 @@
         let ends_in_ms = order.ends_at.since(now).as_ms();
         log::info!(service:% = order.service, target:% = order.target, order:% = order.id, ends_in_ms = ends_in_ms, is_new = is_new; "an order to change a version is open");
         service.supersede();
+        service.rolled_back.remove(&order.target);
         let limits = RolloutLimits {
             exposure_share: bounds.exposure_share,
             exposure_slack: bounds.exposure_slack,
@@ -127,7 +128,7 @@
     }
 
     /// Decides anew for all services, from the endpoints that are known.
-    pub(crate) fn refresh(&self, now: Time, fleet: &Fleet, has_observers: bool) {
+    pub(crate) fn refresh(&self, now: Time, fleet: &mut Fleet, has_observers: bool) {
         if !self.is_enabled() {
             return;
         }
@@ -145,6 +146,7 @@
                 order.decide(now, versions, has_observers, &self.name);
                 order.split.at_old = order.split.at_old.take().and(rules);
             }
+            fleet.set_rolled_back(name, service.rolled_back());
         }
     }
 
@@ -156,6 +158,9 @@
         need: &PlacementRequest,
         tried: &[EndpointId],
     ) -> Placement {
+        if let VersionNeed::Only(version) = &need.version {
+            return self.place_continued(now, fleet, need, version.as_ref(), tried);
+        }
         let mut table = self.table.borrow_mut();
         let Some(service) = table.services.get_mut(&need.service) else {
             return fleet.place(now, need, tried);
@@ -169,27 +174,33 @@
         fleet.place(now, need, tried)
     }
 
-    /// Places a run that continues from a copy, at an endpoint of the version of `source`.
-    pub(crate) fn place_beside(
+    /// Places a request whose stream goes on at the version that began it. Another run at the
+    /// target of an open order is taken from the exposure budget, as it is one more request. A
+    /// run that moves is counted only: it is lost if it is not placed.
+    fn place_continued(
         &self,
         now: Time,
         fleet: &mut Fleet,
         need: &PlacementRequest,
+        version: Option<&Version>,
         tried: &[EndpointId],
-        source: &EndpointId,
     ) -> Placement {
-        if self.is_enabled() {
-            let version = fleet.version(source).cloned();
-            let rules = VersionRules {
-                includes_unversioned: version.is_none(),
-                endpoints: version
-                    .map(|version| (version, EndpointRange::ALL))
-                    .into_iter()
-                    .collect(),
-            };
-            fleet.set_version_rules(&need.service, Some(Arc::new(rules)));
+        let placement = fleet.place(now, need, tried);
+        let Placement::Placed(place) = &placement else {
+            return placement;
+        };
+        let mut table = self.table.borrow_mut();
+        let order = open_order(&mut table.services, &need.service);
+        let Some(order) = order.filter(|order| Some(&order.order().target) == version) else {
+            return placement;
+        };
+        if matches!(need.zone_preference, ZonePreference::CopySource(_)) {
+            order.budget.record_unbudgeted();
+        } else if !order.split.withdraw(now, fleet, &mut order.budget) {
+            fleet.finish(now, place.id, AttemptResult::Inconclusive);
+            return Placement::NoCapacity;
         }
-        fleet.place(now, need, tried)
+        placement
     }
 
     /// Counts a request that reached a service.
--- a/crates/gateway/src/rollout_split.rs
+++ b/crates/gateway/src/rollout_split.rs
@@ -56,7 +56,8 @@
         fleet.place(now, need, tried)
     }
 
-    fn withdraw(&self, now: Time, fleet: &Fleet, budget: &mut ExposureBudget) -> bool {
+    /// Counts a request to the target. Returns `false` if it must not be sent there.
+    pub(crate) fn withdraw(&self, now: Time, fleet: &Fleet, budget: &mut ExposureBudget) -> bool {
         if self.is_budgeted {
             return budget.try_send(now, fleet.entry_count(now));
         }
--- a/crates/gateway/src/rollout_versions.rs
+++ b/crates/gateway/src/rollout_versions.rs
@@ -1,10 +1,11 @@
 //! The versions of one service that get requests.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use lentil_core::{ServiceName, Time};
 use lentil_fleet::{EndpointRange, VersionRules};
-use lentil_rollout::{Stage, State, VersionGate};
+use lentil_rollout::{Stage, State, Version, VersionGate};
 
 use crate::rollout::VersionStates;
 use crate::rollout_order::OrderState;
@@ -17,6 +18,8 @@
     /// is known.
     pub(crate) rules: Option<Arc<VersionRules>>,
     pub(crate) order: Option<OrderState>,
+    /// Targets of earlier orders that were rolled back.
+    pub(crate) rolled_back: BTreeSet<Version>,
     /// Versions without requests, or at most those of an open order, as last logged.
     withheld: Vec<String>,
 }
@@ -24,14 +27,25 @@
 impl ServiceVersions {
     /// Prepares for a newer order. The target of one that was not promoted has proven nothing.
     pub(crate) fn supersede(&mut self) {
-        if let Some(order) = self.order.take()
-            && !order.is_closed
-            && order.stage < Stage::Promoting
-        {
+        let Some(order) = self.order.take().filter(|order| !order.is_closed) else {
+            return;
+        };
+        if order.stage < Stage::Promoting {
             self.gate.withhold(&order.order().target);
+        } else if order.stage == Stage::RolledBack {
+            self.rolled_back.insert(order.order().target.clone());
         }
     }
 
+    /// The versions that were rolled back, by earlier orders or the open one.
+    pub(crate) fn rolled_back(&self) -> BTreeSet<Version> {
+        let mut versions = self.rolled_back.clone();
+        let order = self.order.as_ref();
+        let order = order.filter(|order| order.stage == Stage::RolledBack);
+        versions.extend(order.map(|order| order.order().target.clone()));
+        versions
+    }
+
     pub(crate) fn refresh(&mut self, now: Time, name: &ServiceName, versions: &VersionStates) {
         let known = versions
             .iter()
@@ -82,6 +96,7 @@
         order.stage = status.stage;
         if status.state == State::RolledBack {
             self.gate.withhold(&target);
+            self.rolled_back.insert(target);
             return;
         }
         // The old endpoints stop as soon as this state is recorded.
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -8,6 +8,7 @@
 use lentil_core::{EndpointId, ServiceName, Span, Time, TokenCount};
 use lentil_fleet::PlacedRequest;
 use lentil_handoff::RunStatus;
+use lentil_rollout::Version;
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::error::TryRecvError;
 
@@ -154,6 +155,11 @@
         Some(Span::from_us(us))
     }
 
+    /// The version of its engine's software when it was placed there.
+    pub(crate) fn version(&self) -> Option<Version> {
+        self.place.borrow().version.clone()
+    }
+
     pub(crate) fn endpoint(&self) -> EndpointId {
         self.place.borrow().endpoint.clone()
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -145,6 +145,7 @@
                 .then(|| job.arrived + job.route.target_latency),
             priority: job.rank,
             gap_target: job.route.gap_target,
+            version: job.version_need(),
         }
     }
 }
--- a/crates/gateway/src/wait_queue.rs
+++ b/crates/gateway/src/wait_queue.rs
@@ -4,7 +4,7 @@
 
 use lentil_catalog::PriorityLevel;
 use lentil_core::{EndpointId, ServiceName, Time};
-use lentil_fleet::PlacementRequest;
+use lentil_fleet::{PlacementRequest, VersionNeed};
 use tokio::sync::oneshot;
 
 /// Largest number of waiting requests.
@@ -20,6 +20,18 @@
     pub(crate) until: Time,
 }
 
+impl Wait {
+    /// Whether fewer endpoints than those of other requests may get it. Requests behind it can
+    /// find room where it can't.
+    pub(crate) fn is_restricted(&self) -> bool {
+        !self.excluded.is_empty() || self.need.version != VersionNeed::Any
+    }
+
+    fn needs_version(&self) -> bool {
+        self.need.version != VersionNeed::Any
+    }
+}
+
 /// One waiting request.
 #[derive(Debug)]
 struct Waiter<T> {
@@ -29,8 +41,9 @@
 
 /// The waiting requests of all services, the most urgent first and by
 /// arrival within a rank. A request never overtakes one of the same service that
-/// is at least as urgent. Otherwise a large request would never get capacity. `T` is what a
-/// request gets at the end of its wait.
+/// is at least as urgent. Otherwise a large request would never get capacity. Those that need
+/// one version may be overtaken, as they wait for other room. `T` is what a request gets at the
+/// end of its wait.
 #[derive(Debug)]
 pub(crate) struct WaitQueue<T> {
     waiting: BTreeMap<(PriorityLevel, u64), Waiter<T>>,
@@ -53,7 +66,8 @@
             .iter()
             .take_while(|((waiting, _), _)| *waiting <= rank)
             .filter(|(_, waiter)| {
-                waiter.wait.need.service == *service && !waiter.sender.is_closed()
+                let wait = &waiter.wait;
+                wait.need.service == *service && !wait.needs_version() && !waiter.sender.is_closed()
             })
             .fold(0, |count, _| count + 1)
     }
@@ -89,6 +103,9 @@
                 continue;
             }
             let Some(result) = end(&waiter.wait) else {
+                if waiter.wait.needs_version() {
+                    continue;
+                }
                 blocked.insert(waiter.wait.need.service.clone());
                 continue;
             };
