Name the version of the engine in the lines about a stream

A collected log did not show at which version a stream went on. "generation request sent" and "run continued at the target engine" now have endpoint_version, and the trail names the version where a run continues from a copy and where it runs again.

If the engine of a request restarts before its first event is passed on, the run is taken over at the version that is known then, also for later moves; before, moves of such a run went by the version of its placement.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -93,6 +93,14 @@
     pub version: Option<Version>,
 }
 
+impl PlacedRequest {
+    /// The version for the log; `unstated` if the endpoint stated no valid one.
+    #[must_use]
+    pub fn version_text(&self) -> &str {
+        self.version.as_ref().map_or("unstated", Version::as_str)
+    }
+}
+
 /// The result of placing a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Placement {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
     RefusalReason, ServiceName, Span, Time, TokenCount,
 };
 use lentil_fleet::{
-    AttemptLimit, AttemptResult, LimitChange, LimitNotice, RestNotice, VersionNeed,
+    AttemptLimit, AttemptResult, LimitChange, LimitNotice, PlacedRequest, RestNotice, VersionNeed,
 };
 use lentil_handoff::{BodyFraming, EndedBody, StopOrder};
 use lentil_rollout::Version;
@@ -228,6 +228,14 @@
         self.version.replace(VersionNeed::Only(version));
     }
 
+    /// Whether the request may go on at a place of this version.
+    pub(crate) fn allows(&self, place: &PlacedRequest) -> bool {
+        match &*self.version.borrow() {
+            VersionNeed::Any => true,
+            VersionNeed::Only(version) => place.version == *version,
+        }
+    }
+
     /// Which versions the request may be placed at.
     pub(crate) fn version_need(&self) -> VersionNeed {
         self.version.borrow().clone()
@@ -293,7 +301,7 @@
                     if self.keeps_version(job, &permit) {
                         return Ok(OpenedResponse { reply, permit });
                     }
-                    job.note(format!("{} has changed since", permit.place.endpoint));
+                    job.note(format!("{} has changed", permit.place.endpoint));
                     if !job.route.is_retryable() || !job.take_retry(self) {
                         return Err(job.refuse(RefusalReason::EndpointFailed, None));
                     }
@@ -333,12 +341,9 @@
     /// Whether the endpoint that a request was placed at may write events of its stream. An
     /// endpoint that restarts between its choice and its answer may have another version.
     pub(crate) fn keeps_version(&self, job: &Job, permit: &Permit) -> bool {
-        match job.version_need() {
-            VersionNeed::Any => true,
-            VersionNeed::Only(version) => {
-                permit.place.version == version && self.fleet.borrow().is_unchanged(&permit.place)
-            }
-        }
+        let place = &permit.place;
+        *job.version.borrow() == VersionNeed::Any
+            || (job.allows(place) && self.fleet.borrow().is_unchanged(place))
     }
 
     /// Reserves capacity at an endpoint that the request was not sent to before.
@@ -349,7 +354,7 @@
         let need = Self::need(job, generated_tokens);
         // Endpoints of a version that is gone don't return, so that there is nothing to wait for.
         if self.is_version_gone(self.now(), &need) {
-            job.note("the version of the stream is gone".to_owned());
+            job.note(format!("no capacity: {}", RefusalReason::VersionGone));
             return Err(job.refuse(RefusalReason::VersionGone, None));
         }
         let found = if self.fleet.borrow().is_adaptive(&job.service) {
@@ -408,7 +413,7 @@
         if is_stream(&job.route) {
             let waited_ms = sent_at.since(job.arrived).as_ms();
             let parts = poison::parts_text(job.shared_parts());
-            log::info!(request:% = job.request.id, endpoint:% = endpoint, waited_ms = waited_ms, parts = parts.as_str(); "generation request sent");
+            log::info!(request:% = job.request.id, endpoint:% = endpoint, endpoint_version = permit.place.version_text(), waited_ms = waited_ms, parts = parts.as_str(); "generation request sent");
             announcements::announce(self, job, permit);
         }
         self.plan_backup(job, permit);
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -224,7 +224,7 @@
         match result {
             Ok(completed) => {
                 self.gateway.metrics.count_move("switched");
-                log::info!(request:% = run.request, to:% = endpoint, took_ms = took_ms; "run continued at the target engine");
+                log::info!(request:% = run.request, to:% = endpoint, endpoint_version = permit.place.version_text(), took_ms = took_ms; "run continued at the target engine");
                 let kv_copy = KvCopy {
                     source: self.leaving.address,
                     handle: completed.handle,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -299,16 +299,15 @@
         {
             return;
         }
-        let place = &self.permit.place;
+        let place = &mut self.permit.place;
         let fleet = self.gateway.fleet.borrow();
-        // A restart breaks the connections of the process before, so that the bytes are those
-        // of the engine that is known now.
-        let version = if fleet.is_in_flight(place.id) {
-            place.version.clone()
-        } else {
-            fleet.version(&place.endpoint).cloned()
-        };
-        self.job.require_version(version);
+        if !fleet.is_in_flight(place.id) {
+            // A restart breaks the connections of the process before, so that the bytes are
+            // those of the engine that is known now.
+            place.version = fleet.version(&place.endpoint).cloned();
+            self.run_guard.run.place.replace(place.clone());
+        }
+        self.job.require_version(place.version.clone());
     }
 
     /// Returns whether the caller has received an event, from this response or, if it
@@ -625,7 +624,8 @@
             }
             Ok(reply) if reply.status.is_success() && reply.attestation == Attestation::Ran => {
                 self.job.note(format!(
-                    "continues at {endpoint} after event {}",
+                    "continues at {endpoint} ({}) after event {}",
+                    permit.place.version_text(),
                     self.last_event_id.unwrap_or(0)
                 ));
                 origin.count(&self.gateway, "went_on");
@@ -674,6 +674,13 @@
             .await;
         match opened {
             Ok(opened) if opened.reply.status.is_success() => {
+                let place = &opened.permit.place;
+                self.job.note(format!(
+                    "runs again at {} ({}) after event {}",
+                    place.endpoint,
+                    place.version_text(),
+                    self.last_event_id.unwrap_or(0)
+                ));
                 self.replace_permit(opened.permit);
                 self.replace_body(opened.reply);
                 BodyEnd::Continued
@@ -694,7 +701,10 @@
     fn has_copy_engine(&self, other: Option<&Permit>) -> bool {
         let fleet = self.gateway.fleet.borrow();
         let (place, is_kept) = match other {
-            Some(other) => (&other.place, fleet.is_unchanged(&other.place)),
+            Some(other) => (
+                &other.place,
+                fleet.is_unchanged(&other.place) && self.job.allows(&other.place),
+            ),
             None => (&self.permit.place, fleet.is_in_flight(self.permit.place.id)),
         };
         if !is_kept {
