--- a/crates/lentiltray/tests/it/backup_streams.rs
+++ b/crates/lentiltray/tests/it/backup_streams.rs
@@ -23,6 +23,9 @@
 /// Time without an event after which the gateway gives up a stream.
 const STALL_MS: u64 = 600;
 
+/// Time within which a gateway has read a changed entry.
+const ENTRY_READ: Duration = Duration::from_millis(700);
+
 /// How a stream ends at an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum End {
@@ -325,6 +328,54 @@
     assert!(requests[0].1.header("kv-backup").is_some());
 }
 
+/// Guards against a run that continues at another version of its engine: that of the backup
+/// engine has changed since it was chosen.
+#[test]
+fn backup_version_changes() {
+    let fixture = Fixture::start(
+        "backup_changes",
+        End::BrokenBefore(DIES_AFTER),
+        End::Complete,
+    );
+    let mut connection = fixture.site.connect();
+    connection.send(&head("/report/a"), "hello");
+    wait_until("an engine has the request", || {
+        !fixture.requests().is_empty()
+    });
+    for engine in &fixture.engines {
+        if engine.requests().is_empty() {
+            fixture.site.register_version(engine, "writers", "v2");
+        }
+    }
+    let response = connection.receive().unwrap();
+    assert_eq!(response.body, events(0..DIES_AFTER));
+    assert!(!response.complete);
+    let requests = fixture.requests();
+    assert_eq!(requests.len(), 1);
+    assert!(requests[0].1.header("kv-backup").is_some());
+}
+
+/// Guards against copies at engines of another version, which can't continue the run.
+#[test]
+fn backup_of_version() {
+    let fixture = Fixture::start(
+        "backup_version",
+        End::BrokenBefore(DIES_AFTER),
+        End::Complete,
+    );
+    for (engine, version) in fixture.engines.iter().zip(["v2", "v3", "v4"]) {
+        fixture.site.register_version(engine, "writers", version);
+    }
+    std::thread::sleep(ENTRY_READ);
+    let mut connection = fixture.site.connect();
+    connection.send(&head("/report/a"), "hello");
+    let response = connection.receive().unwrap();
+    assert!(!response.complete);
+    let requests = fixture.requests();
+    assert_eq!(requests.len(), 1);
+    assert_eq!(requests[0].1.header("kv-backup"), None);
+}
+
 /// Guards against copies and runs that nobody needs any more.
 #[test]
 fn caller_leaves() {
--- a/crates/lentiltray/tests/it/moved_streams.rs
+++ b/crates/lentiltray/tests/it/moved_streams.rs
@@ -267,6 +267,108 @@
     assert_eq!(requests.len(), 1);
 }
 
+/// When the entry of the target engine changes to another version, in the middle of a move.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TargetChanges {
+    /// While the memory is copied and the run goes on.
+    DuringCopy,
+    /// While the run is stopped.
+    DuringStop,
+}
+
+/// Starts an engine like [`engine`] whose next order to move is answered once `held` is no
+/// longer set, at the stage that `changes` names. `orders` counts orders that stop the run.
+fn held_engine(
+    name: &str,
+    leaving: &Arc<AtomicBool>,
+    changes: TargetChanges,
+    held: &Arc<AtomicBool>,
+    reached: &Arc<AtomicBool>,
+    stops: &Arc<AtomicU64>,
+) -> Replica {
+    let leaving = Arc::clone(leaving);
+    let (held, reached, stops) = (Arc::clone(held), Arc::clone(reached), Arc::clone(stops));
+    let orders = Arc::new(MoveOrders::default());
+    Replica::start(name, move |request, stream| {
+        match (request.method.as_str(), request.target.as_str()) {
+            ("GET", "/v1/report") => {
+                write_response(stream, &report(400, leaving.load(Ordering::SeqCst)))
+            }
+            ("POST", "/v1/kv-move") => {
+                let order: Value = serde_json::from_slice(&request.body).unwrap();
+                let is_stop = order["last"] == true;
+                stops.fetch_add(u64::from(is_stop), Ordering::SeqCst);
+                if is_stop == (changes == TargetChanges::DuringStop) {
+                    reached.store(true, Ordering::SeqCst);
+                    while held.load(Ordering::SeqCst) {
+                        std::thread::sleep(Duration::from_millis(5));
+                    }
+                }
+                let peer = stream.peer_addr().unwrap();
+                let response = handle_move_order(request, peer, &orders, MoveResult::Copied);
+                write_response(stream, &response)
+            }
+            _ => generate(request, stream, &orders),
+        }
+    })
+}
+
+/// Runs a stream at one of two engines of a version, which leaves. The entry of the other one
+/// changes to another version during the move, and a third engine of the first version joins
+/// then. Returns the response, the number of orders that stopped the run, and how many requests
+/// the changed and the third engine received.
+fn change_target(
+    test: &str,
+    changes: TargetChanges,
+) -> (crate::fake_http::ReceivedResponse, u64, [usize; 2]) {
+    let leaving = [(); 3].map(|()| Arc::new(AtomicBool::new(false)));
+    let held = Arc::new(AtomicBool::new(true));
+    let reached = Arc::new(AtomicBool::new(false));
+    let stops = Arc::new(AtomicU64::new(0));
+    let names = ["i-1", "i-2", "i-3"];
+    let engines =
+        [0, 1, 2].map(|at| held_engine(names[at], &leaving[at], changes, &held, &reached, &stops));
+    let listed = [(&engines[0], "writers"), (&engines[1], "writers")];
+    let site = Site::start(test, &listed);
+    let mut connection = site.connect();
+    let head = crate::gateway_harness::request_head("/note/a", "r1", "");
+    connection.send(&head.replace("2500", "9000"), "hello");
+    crate::gateway_harness::wait_until("an engine has the request", || {
+        engines.iter().any(|engine| !engine.requests().is_empty())
+    });
+    std::thread::sleep(Duration::from_millis(200));
+    let first = usize::from(engines[0].requests().is_empty());
+    leaving[first].store(true, Ordering::SeqCst);
+    crate::gateway_harness::wait_until("the order has come", || reached.load(Ordering::SeqCst));
+    site.register_version(&engines[1 - first], "writers", "v2");
+    site.register_version(&engines[2], "writers", "v1");
+    site.gateway.wait_for_line("endpoint joined");
+    held.store(false, Ordering::SeqCst);
+    let response = connection.receive().unwrap();
+    let received = [1 - first, 2].map(|at| engines[at].requests().len());
+    (response, stops.load(Ordering::SeqCst), received)
+}
+
+/// Guards against a run that is stopped for an engine that may not take it any more, as its
+/// version has changed since it was chosen. The run moves to another engine.
+#[test]
+fn target_changes_in_copy() {
+    let (response, stops, received) = change_target("copy_changes", TargetChanges::DuringCopy);
+    assert_eq!(response.body, full_stream());
+    assert!(response.complete);
+    assert_eq!((stops, received), (1, [0, 1]));
+}
+
+/// Guards against a stream that goes on at an engine whose version has changed while the run
+/// was stopped. It goes on at another engine.
+#[test]
+fn target_changes_in_stop() {
+    let (response, stops, received) = change_target("stop_changes", TargetChanges::DuringStop);
+    assert_eq!(response.body, full_stream());
+    assert!(response.complete);
+    assert_eq!((stops, received), (1, [0, 1]));
+}
+
 /// A run that the engine no longer knows has ended on its own, so it is not migrated.
 #[test]
 fn unknown_run_finishes_in_place() {
