Test streams that wait for room at their version

A stream that waits for room at its version holds up no request that may go elsewhere, and goes on once there is room; if the version goes meanwhile, it breaks off and is counted.

--- a/crates/lentiltray/tests/it/version_choice.rs
+++ b/crates/lentiltray/tests/it/version_choice.rs
@@ -11,7 +11,7 @@
     ClientConnection, ConnectionAction, ReceivedResponse, Request, chunk, response_with_length,
 };
 use crate::gateway_harness::{
-    Replica, Site, request_head, signature_headers, wait_until, write_response,
+    Replica, Site, config, request_head, signature_headers, wait_until, write_response,
 };
 
 /// Number of events in a complete stream.
@@ -38,6 +38,8 @@
     holds_break: AtomicBool,
     /// Whether engines don't answer further runs yet.
     holds_rerun: AtomicBool,
+    /// Whether the second engine reports that all its slots are taken.
+    second_is_full: AtomicBool,
 }
 
 impl Script {
@@ -53,6 +55,16 @@
 fn engine(name: &'static str, breaks_off: BreaksOff, script: &Arc<Script>) -> Replica {
     let script = Arc::clone(script);
     Replica::start(name, move |request, stream| {
+        if request.target == "/v1/report"
+            && name == "i-2"
+            && script.second_is_full.load(Ordering::SeqCst)
+        {
+            let report = json!({"stage": "combined", "models": [], "busy": false, "sequence": 1,
+                "waiting": 0, "running": 8, "kvUsed": 400, "kvTotal": 34000, "handles": 0,
+                "state": "ready", "born": 7});
+            let body = report.to_string();
+            return write_response(stream, &response_with_length(200, "", body.as_bytes()));
+        }
         if request.header("attempt-id").is_none() {
             return write_response(stream, &response_with_length(503, "", b""));
         }
@@ -131,14 +143,19 @@
     begin(site).receive().unwrap()
 }
 
-/// The number of streams that broke off as their version was gone.
-fn version_gone(site: &Site) -> u64 {
+/// The value of a metric of the gateway without labels.
+fn metric(site: &Site, name: &str) -> u64 {
     let mut connection = ClientConnection::open(site.gateway.address("metrics"));
     connection.send("GET /metrics HTTP/1.1\nHost: x", "");
     let page = connection.receive().unwrap().body;
-    let mut lines = page.lines();
-    let count = lines.find_map(|line| line.strip_prefix("lentiltray_gateway_version_gone_total "));
-    count.unwrap().parse().unwrap()
+    let prefix = format!("lentiltray_gateway_{name} ");
+    let value = page.lines().find_map(|line| line.strip_prefix(&prefix));
+    value.unwrap().parse().unwrap()
+}
+
+/// The number of streams that broke off as their version was gone.
+fn version_gone(site: &Site) -> u64 {
+    metric(site, "version_gone_total")
 }
 
 /// The engine that has the only request, and the others.
@@ -340,3 +357,71 @@
     assert_eq!(event_ids(&response.body), (0..EVENTS).collect::<Vec<_>>());
     assert!(response.complete);
 }
+
+/// A stream that broke off at the first engine of its version, and waits for room at the second
+/// one. A third engine of another version has room.
+struct WaitingStream {
+    site: Site,
+    script: Arc<Script>,
+    connection: ClientConnection,
+    engines: [Replica; 3],
+}
+
+impl WaitingStream {
+    fn start(test: &str) -> Self {
+        let script = Arc::new(Script::default());
+        script.holds_break.store(true, Ordering::SeqCst);
+        script.second_is_full.store(true, Ordering::SeqCst);
+        let engines = ["i-1", "i-2", "i-3"].map(|it| engine(it, BreaksOff::AfterEvents, &script));
+        let site = site(test, &[(&engines[0], "v1"), (&engines[1], "v1")]);
+        // Streams wait for this target latency at most.
+        let mut config = config(2);
+        config["routes"][3]["targetLatencyMs"] = json!(8_000);
+        site.store.put("keyed.op", "config", Some(&config));
+        while site.gateway.wait_for_line("a version is in force")["kvs"]["version"] != "2" {}
+        wait_until("the engine's report is known", || {
+            engines[1].report_count() > 2
+        });
+        let connection = begin(&site);
+        let (first, _) = running(&engines);
+        assert_eq!(first.name, "i-1");
+        site.register_version(&engines[2], "writers", "v2");
+        site.gateway.wait_for_line("endpoint joined");
+        script.holds_break.store(false, Ordering::SeqCst);
+        wait_until("the stream waits", || metric(&site, "waiting") == 1);
+        Self {
+            site,
+            script,
+            connection,
+            engines,
+        }
+    }
+}
+
+/// Guards against requests that wait behind a stream that needs one version, and against a
+/// stream that breaks off although its version will have room.
+#[test]
+fn waiting_stream_overtaken() {
+    let mut waiting = WaitingStream::start("waiting_overtaken");
+    let response = waiting.site.call("/note/a", "r2", "").unwrap();
+    assert!(response.complete);
+    assert_eq!(metric(&waiting.site, "waiting"), 1);
+    waiting.script.second_is_full.store(false, Ordering::SeqCst);
+    let response = waiting.connection.receive().unwrap();
+    assert!(response.complete);
+    assert_eq!(writers(&response.body), ["i-1", "i-2"]);
+}
+
+/// Guards against a stream that waits on for a version that has gone meanwhile.
+#[test]
+fn version_goes_in_wait() {
+    let mut waiting = WaitingStream::start("goes_in_wait");
+    for engine in &waiting.engines[..2] {
+        waiting.site.store.put("keyed.servers", &engine.name, None);
+    }
+    let response = waiting.connection.receive().unwrap();
+    assert!(!response.complete);
+    assert_eq!(event_ids(&response.body), [0, 1]);
+    assert_eq!(version_gone(&waiting.site), 1);
+    assert_eq!(waiting.engines[2].requests().len(), 0);
+}
