Test a source that restarts after it has kept a stopped run

An engine that was told to stop a run keeps its memory for lack of room elsewhere, and restarts with another version before its answer is read. The stream goes on at an engine of its version, without the copy.

--- a/crates/lentiltray/tests/it/moved_streams.rs
+++ b/crates/lentiltray/tests/it/moved_streams.rs
@@ -281,7 +281,7 @@
 fn held_engine(
     name: &str,
     leaving: &Arc<AtomicBool>,
-    changes: TargetChanges,
+    (changes, move_result): (TargetChanges, MoveResult),
     held: &Arc<AtomicBool>,
     reached: &Arc<AtomicBool>,
     stops: &Arc<AtomicU64>,
@@ -305,7 +305,7 @@
                     }
                 }
                 let peer = stream.peer_addr().unwrap();
-                let response = handle_move_order(request, peer, &orders, MoveResult::Copied);
+                let response = handle_move_order(request, peer, &orders, move_result);
                 write_response(stream, &response)
             }
             _ => generate(request, stream, &orders),
@@ -326,8 +326,16 @@
     let reached = Arc::new(AtomicBool::new(false));
     let stops = Arc::new(AtomicU64::new(0));
     let names = ["i-1", "i-2", "i-3"];
-    let engines =
-        [0, 1, 2].map(|at| held_engine(names[at], &leaving[at], changes, &held, &reached, &stops));
+    let engines = [0, 1, 2].map(|at| {
+        held_engine(
+            names[at],
+            &leaving[at],
+            (changes, MoveResult::Copied),
+            &held,
+            &reached,
+            &stops,
+        )
+    });
     let listed = [(&engines[0], "writers"), (&engines[1], "writers")];
     let site = Site::start(test, &listed);
     let mut connection = site.connect();
@@ -369,6 +377,47 @@
     assert_eq!((stops, received), (1, [0, 1]));
 }
 
+/// Guards against a stream that goes on from the memory that its engine kept for lack of room
+/// elsewhere, although that engine has restarted with another version since. It goes on at an
+/// engine of its version.
+#[test]
+fn source_restarts_after_stop() {
+    let leaving = [(); 2].map(|()| Arc::new(AtomicBool::new(false)));
+    let held = Arc::new(AtomicBool::new(true));
+    let reached = Arc::new(AtomicBool::new(false));
+    let stops = Arc::new(AtomicU64::new(0));
+    let names = ["i-1", "i-2"];
+    let behaviour = (TargetChanges::DuringStop, MoveResult::FirstStopRefused);
+    let engines =
+        [0, 1].map(|at| held_engine(names[at], &leaving[at], behaviour, &held, &reached, &stops));
+    let listed = [(&engines[0], "writers"), (&engines[1], "writers")];
+    let site = Site::start("source_restarts", &listed);
+    let mut connection = site.connect();
+    let head = crate::gateway_harness::request_head("/note/a", "r1", "");
+    connection.send(&head.replace("2500", "9000"), "hello");
+    crate::gateway_harness::wait_until("an engine has the request", || {
+        engines.iter().any(|engine| !engine.requests().is_empty())
+    });
+    std::thread::sleep(Duration::from_millis(200));
+    let first = usize::from(engines[0].requests().is_empty());
+    leaving[first].store(true, Ordering::SeqCst);
+    crate::gateway_harness::wait_until("the order has come", || reached.load(Ordering::SeqCst));
+    let entry = json!({"service": "writers", "address": engines[first].address().to_string(),
+        "zone": "z", "version": "v2", "slots": 50, "state": "ready", "coldRemainingMs": 0,
+        "sequence": 1, "born": 8});
+    let name = &engines[first].name;
+    site.store.put("keyed.servers", name, Some(&entry));
+    site.gateway.wait_for_line("endpoint restarted");
+    held.store(false, Ordering::SeqCst);
+    let response = connection.receive().unwrap();
+    assert_eq!(response.body, full_stream());
+    assert!(response.complete);
+    let [source, other] = [first, 1 - first].map(|at| engines[at].requests());
+    assert_eq!((source.len(), other.len()), (1, 1));
+    assert!(other[0].header("last-event-id").is_some());
+    assert_eq!(other[0].header("kv-from"), None);
+}
+
 /// A run that the engine no longer knows has ended on its own, so it is not migrated.
 #[test]
 fn unknown_run_finishes_in_place() {
