--- /dev/null
+++ b/crates/origin/src/lib.rs
@@ -0,0 +1,22 @@
+//! Which version of a service's software began a stream.
+//!
+//! A stream that breaks off may be taken up by its caller at any gateway, also at one that has
+//! just started, and goes on only at the version that began it. [`Origins`] decides which streams
+//! are recorded in the platform's log and derives the version of a stream from those records.
+//!
+//! The load pattern is a fleet whose engines are replaced by those of another version while many
+//! short streams begin, and whose gateways all lose power at once. Records are needed only for
+//! streams that begin at another version than the service's default one, which the log holds too;
+//! while one version serves, nothing is written.
+//!
+//! This crate has no clock and no I/O; callers pass in the current time.
+
+mod origins;
+mod records;
+mod service;
+mod stream_key;
+
+pub use origins::{DefaultChange, Lookup, Origins};
+pub use records::StreamRecord;
+pub use service::VersionCounts;
+pub use stream_key::{ParseStreamKeyError, StreamKey};
--- /dev/null
+++ b/crates/origin/src/origins.rs
@@ -0,0 +1,188 @@
+//! The versions at which the streams of all services began.
+
+use std::collections::BTreeMap;
+
+use lentil_core::{ServiceName, Span, Time};
+use lentil_rollout::Version;
+
+use crate::records::{Records, StreamRecord};
+use crate::service::{ServiceVersions, VersionCounts};
+use crate::stream_key::StreamKey;
+
+/// Interval at which the default is read while other versions are known.
+const DEFAULT_READ_INTERVAL: Span = Span::from_ms(1_000);
+
+/// What is known about the version at which a stream began.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Lookup {
+    /// It began at this version; `None` stands for endpoints that state no valid one.
+    Began(Option<Version>),
+    /// The log has to be read.
+    Unread {
+        /// The service's default version is not current.
+        default: bool,
+        /// Records may have been appended since they were read.
+        records: bool,
+    },
+    /// Several versions have served, and nothing names the stream.
+    Unknown,
+}
+
+/// A change of a service's default version that is due.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DefaultChange {
+    /// The service.
+    pub service: ServiceName,
+    /// The new default.
+    pub version: Option<Version>,
+}
+
+/// What one gateway knows about the versions at which streams began.
+#[derive(Debug, Default)]
+pub struct Origins {
+    services: BTreeMap<ServiceName, ServiceVersions>,
+    records: Records,
+    /// When the records were read, to their end.
+    records_read_at: Option<Time>,
+}
+
+impl Origins {
+    /// Takes over the versions of a service's known endpoints. `take_up_time` is the longest time
+    /// after its first event at which a stream of the service may be taken up.
+    pub fn observe(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        counts: VersionCounts,
+        take_up_time: Span,
+    ) {
+        let versions = self
+            .services
+            .entry(service.clone())
+            .or_insert_with(|| ServiceVersions::new(now));
+        versions.observe(now, counts, take_up_time);
+    }
+
+    /// Takes over the default versions that the log held when it was asked. Services without one
+    /// have none yet.
+    pub fn record_defaults(
+        &mut self,
+        asked_at: Time,
+        defaults: &BTreeMap<ServiceName, Option<Version>>,
+    ) {
+        for (service, versions) in &mut self.services {
+            versions.record_default(asked_at, defaults.get(service).cloned());
+        }
+    }
+
+    /// Takes over records that were read from the log. `asked_at` is given if they reach its end.
+    pub fn record_read(
+        &mut self,
+        now: Time,
+        records: impl IntoIterator<Item = StreamRecord>,
+        asked_at: Option<Time>,
+    ) {
+        for record in records {
+            self.insert(now, record);
+        }
+        self.records_read_at = self.records_read_at.max(asked_at);
+    }
+
+    /// Whether the records were read to their end, after `wanted_at`.
+    #[must_use]
+    pub fn has_read_records(&self, wanted_at: Time) -> bool {
+        self.records_read_at >= Some(wanted_at)
+    }
+
+    /// Keeps the version of a stream that this gateway has begun or taken up.
+    pub fn insert(&mut self, now: Time, record: StreamRecord) {
+        let times = self.services.values().map(ServiceVersions::take_up_time);
+        let take_up_time = times.max().unwrap_or(Span::ZERO);
+        self.records.insert(now, record, now + take_up_time);
+    }
+
+    /// Whether a stream that begins at this version has to be recorded in the log before its first
+    /// event reaches the caller.
+    #[must_use]
+    pub fn needs_record(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        version: Option<&Version>,
+    ) -> bool {
+        let default = self
+            .services
+            .get(service)
+            .and_then(|versions| versions.current_default(now));
+        default.is_none_or(|default| default.as_ref() != version)
+    }
+
+    /// Returns the version at which a stream began that a request of `arrived_at` takes up.
+    #[must_use]
+    pub fn look_up(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        key: &StreamKey,
+        arrived_at: Time,
+    ) -> Lookup {
+        if let Some(version) = self.records.get(key) {
+            return Lookup::Began(version.clone());
+        }
+        let versions = self.services.get(service);
+        let default = versions.and_then(|versions| versions.current_default(now));
+        let only_default = versions.is_some_and(|versions| versions.only_default_served(now));
+        let are_read = only_default || self.records_read_at >= Some(arrived_at);
+        match default {
+            Some(default) if are_read => Lookup::Began(default.clone()),
+            _ => Lookup::Unread {
+                default: default.is_none(),
+                records: !are_read,
+            },
+        }
+    }
+
+    /// Returns the version at which a stream began that a request of `arrived_at` takes up without
+    /// naming the attempt that began it.
+    #[must_use]
+    pub fn look_up_unnamed(&self, now: Time, service: &ServiceName, arrived_at: Time) -> Lookup {
+        let versions = self.services.get(service);
+        let default = versions.and_then(|versions| versions.current_default(now));
+        let only_default = versions.is_some_and(|versions| versions.only_default_served(now));
+        let are_read = only_default || self.records_read_at >= Some(arrived_at);
+        match default {
+            Some(default) if only_default || (are_read && self.records.len() == 0) => {
+                Lookup::Began(default.clone())
+            }
+            Some(_) if are_read => Lookup::Unknown,
+            _ => Lookup::Unread {
+                default: default.is_none(),
+                records: !are_read,
+            },
+        }
+    }
+
+    /// Whether the default versions have to be read.
+    #[must_use]
+    pub fn wants_defaults(&self, now: Time) -> bool {
+        self.services
+            .values()
+            .any(|versions| versions.wants_default(now, DEFAULT_READ_INTERVAL))
+    }
+
+    /// A change of a default version that is due.
+    #[must_use]
+    pub fn due_change(&self, now: Time) -> Option<DefaultChange> {
+        self.services.iter().find_map(|(service, versions)| {
+            let version = versions.due_default(now)?.clone();
+            let service = service.clone();
+            Some(DefaultChange { service, version })
+        })
+    }
+
+    /// Number of records that are kept.
+    #[must_use]
+    pub fn record_count(&self) -> usize {
+        self.records.len()
+    }
+}
--- /dev/null
+++ b/crates/origin/src/service.rs
@@ -0,0 +1,143 @@
+//! The versions of one service.
+
+use std::collections::BTreeMap;
+
+use lentil_core::{Span, Time};
+use lentil_rollout::Version;
+
+/// The number of known endpoints by version; `None` stands for endpoints that state no valid one.
+pub type VersionCounts = BTreeMap<Option<Version>, u32>;
+
+/// How long a default that was read is relied on while other versions are known.
+const DEFAULT_LEASE: Span = Span::from_ms(3_000);
+
+/// The default version as read from the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct ReadDefault {
+    version: Option<Option<Version>>,
+    /// When the log was asked.
+    asked_at: Time,
+}
+
+/// What is known about the versions of one service.
+#[derive(Debug)]
+pub(crate) struct ServiceVersions {
+    /// The versions that have endpoints.
+    counts: VersionCounts,
+    /// When the last of them appeared.
+    appeared_at: Time,
+    /// When streams that began before this process knew the service can no longer be taken up.
+    earlier_until: Time,
+    /// When streams of each version can no longer be taken up, as far as endpoints were known.
+    taken_up_until: BTreeMap<Option<Version>, Time>,
+    default: Option<ReadDefault>,
+    /// The longest time after its first event at which a stream may be taken up.
+    take_up_time: Span,
+}
+
+impl ServiceVersions {
+    pub(crate) const fn new(now: Time) -> Self {
+        Self {
+            counts: VersionCounts::new(),
+            appeared_at: now,
+            earlier_until: Time::NEVER,
+            taken_up_until: BTreeMap::new(),
+            default: None,
+            take_up_time: Span::ZERO,
+        }
+    }
+
+    pub(crate) const fn take_up_time(&self) -> Span {
+        self.take_up_time
+    }
+
+    pub(crate) fn observe(&mut self, now: Time, counts: VersionCounts, take_up_time: Span) {
+        self.take_up_time = take_up_time;
+        let until = now + take_up_time;
+        if self.earlier_until == Time::NEVER {
+            self.earlier_until = until;
+        }
+        self.taken_up_until.retain(|_, at| !at.has_passed(now));
+        for version in counts.keys() {
+            if !self.counts.contains_key(version) {
+                self.appeared_at = now;
+            }
+            self.taken_up_until.insert(version.clone(), until);
+        }
+        self.counts = counts;
+    }
+
+    pub(crate) fn record_default(&mut self, asked_at: Time, version: Option<Option<Version>>) {
+        if self
+            .default
+            .as_ref()
+            .is_none_or(|known| known.asked_at <= asked_at)
+        {
+            self.default = Some(ReadDefault { version, asked_at });
+        }
+    }
+
+    /// The default version, if it was read.
+    fn default_version(&self) -> Option<&Option<Version>> {
+        self.default.as_ref()?.version.as_ref()
+    }
+
+    /// Whether all known versions are the default.
+    fn is_alone(&self) -> bool {
+        let default = self.default_version();
+        self.counts.keys().all(|version| Some(version) == default)
+    }
+
+    /// The default version, if it was read recently enough to rely on it.
+    pub(crate) fn current_default(&self, now: Time) -> Option<&Option<Version>> {
+        let read = self.default.as_ref()?;
+        let is_recent = self.is_alone() || !(read.asked_at + DEFAULT_LEASE).has_passed(now);
+        (read.asked_at >= self.appeared_at && is_recent)
+            .then_some(read.version.as_ref())
+            .flatten()
+    }
+
+    /// Whether the default has to be read: it is not current, or it may be changed soon.
+    pub(crate) fn wants_default(&self, now: Time, read_interval: Span) -> bool {
+        if self.counts.is_empty() {
+            return false;
+        }
+        let Some(read) = &self.default else {
+            return true;
+        };
+        if read.asked_at < self.appeared_at || read.version.is_none() {
+            return true;
+        }
+        !self.is_alone() && (read.asked_at + read_interval).has_passed(now)
+    }
+
+    /// Whether every stream that may be taken up began at the default version: no other one was
+    /// known for the take-up time.
+    pub(crate) fn only_default_served(&self, now: Time) -> bool {
+        let default = self.current_default(now);
+        let others = self.taken_up_until.iter();
+        default.is_some()
+            && self.earlier_until.has_passed(now)
+            && others
+                .filter(|(version, _)| Some(*version) != default)
+                .all(|(_, until)| until.has_passed(now))
+    }
+
+    /// The version that should become the default: the one with the most endpoints if there is no
+    /// default, or if no stream that may be taken up began there.
+    pub(crate) fn due_default(&self, now: Time) -> Option<&Option<Version>> {
+        let read = self.default.as_ref()?;
+        if let Some(default) = &read.version {
+            let is_in_use = self
+                .taken_up_until
+                .get(default)
+                .is_some_and(|until| !until.has_passed(now));
+            if is_in_use || !self.earlier_until.has_passed(now) {
+                return None;
+            }
+        }
+        let most = self.counts.iter().filter(|(_, count)| **count > 0);
+        let most = most.max_by_key(|(_, count)| **count);
+        most.map(|(version, _)| version)
+    }
+}
