--- a/crates/origin/tests/it/main.rs
+++ b/crates/origin/tests/it/main.rs
@@ -7,4 +7,8 @@
     clippy::unwrap_used
 )]
 
+mod default_versions;
+mod fixtures;
+mod look_ups;
+mod records;
 mod stream_keys;
--- a/crates/origin/tests/it/stream_keys.rs
+++ b/crates/origin/tests/it/stream_keys.rs
@@ -22,3 +22,13 @@
     };
     assert_ne!(key("council"), key("harbour"));
 }
+
+/// Guards against an organisation that steers the stream of another one by a record of its own.
+#[test]
+fn other_target() {
+    let of = |path, body: &[u8]| StreamKey::of(Fingerprint::of("POST", path, body), "a1");
+    let own = of("council /report/a", b"hello");
+    assert_ne!(own, of("council /report/b", b"hello"));
+    assert_ne!(own, of("council /report/a", b"hell"));
+    assert_eq!(own, of("council /report/a", b"hello"));
+}
