Keep the default of a service while it is listed, and a take-up time from then on

A version counted as in use for a take-up time after the last list that held it, also while it was still listed. So a gateway whose list had not been read again changed the default while streams began there unrecorded, and one whose list came late changed it early by the time between two lists. Now a listed version is in use, and the time of one that left counts from the first list without it.

Tests: listed_default and leaving_time failed before.

--- a/crates/origin/src/service.rs
+++ b/crates/origin/src/service.rs
@@ -58,10 +58,11 @@
             self.earlier_until = until;
         }
         self.taken_up_until.retain(|_, at| !at.has_passed(now));
-        for version in counts.keys() {
-            if !self.counts.contains_key(version) {
-                self.appeared_at = now;
-            }
+        if counts.keys().any(|it| !self.counts.contains_key(it)) {
+            self.appeared_at = now;
+        }
+        // Streams may have begun at a version until the first list without it.
+        for version in self.counts.keys().chain(counts.keys()) {
             self.taken_up_until.insert(version.clone(), until);
         }
         self.counts = counts;
@@ -111,16 +112,22 @@
         !self.is_alone() && (read.asked_at + read_interval).has_passed(now)
     }
 
+    /// Whether a stream that may be taken up may have begun at this version.
+    fn is_in_use(&self, now: Time, version: &Option<Version>) -> bool {
+        let until = self.taken_up_until.get(version);
+        self.counts.contains_key(version) || until.is_some_and(|until| !until.has_passed(now))
+    }
+
     /// Whether every stream that may be taken up began at the default version: no other one was
     /// known for the take-up time.
     pub(crate) fn only_default_served(&self, now: Time) -> bool {
         let default = self.current_default(now);
-        let others = self.taken_up_until.iter();
+        let others = self.taken_up_until.keys();
         default.is_some()
             && self.earlier_until.has_passed(now)
             && others
-                .filter(|(version, _)| Some(*version) != default)
-                .all(|(_, until)| until.has_passed(now))
+                .filter(|version| Some(*version) != default)
+                .all(|version| !self.is_in_use(now, version))
     }
 
     /// The version that should become the default: the one with the most endpoints if there is no
@@ -128,11 +135,7 @@
     pub(crate) fn due_default(&self, now: Time) -> Option<&Option<Version>> {
         let read = self.default.as_ref()?;
         if let Some(default) = &read.version {
-            let is_in_use = self
-                .taken_up_until
-                .get(default)
-                .is_some_and(|until| !until.has_passed(now));
-            if is_in_use || !self.earlier_until.has_passed(now) {
+            if self.is_in_use(now, default) || !self.earlier_until.has_passed(now) {
                 return None;
             }
         }
