Count what served while a gateway did not read its list as unknown

A gateway that was cut from its list of endpoints for a minute took the old list for what had served meanwhile. At its return it changed a default that had come back, and it took streams up at the default without a look into the log. A gap of 5 s between two lists now counts like a start: the take-up time begins again and the default is read again. observe() is to be called every second while the list is current.

Test: stale_list failed before.

--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -49,6 +49,10 @@
 impl Origins {
     /// Takes over the versions of a service's known endpoints. `take_up_time` is the longest time
     /// after its first event at which a stream of the service may be taken up.
+    ///
+    /// It is called at least every second while the list of endpoints is current, also if nothing
+    /// has changed, and not while the list can't be read: what serves during a gap of 5 s or more
+    /// counts as unknown.
     pub fn observe(
         &mut self,
         now: Time,
--- a/crates/origin/src/service.rs
+++ b/crates/origin/src/service.rs
@@ -11,6 +11,10 @@
 /// How long a default that was read is relied on while other versions are known.
 const DEFAULT_LEASE: Span = Span::from_ms(3_000);
 
+/// Longest time between two lists of endpoints of which the second still tells what served
+/// meanwhile. Lists are read every second and reach a gateway up to 1.5 s late.
+const LIST_GAP_MAX: Span = Span::from_ms(5_000);
+
 /// The default version as read from the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct ReadDefault {
@@ -24,9 +28,12 @@
 pub(crate) struct ServiceVersions {
     /// The versions that have endpoints.
     counts: VersionCounts,
+    /// When they were last taken over.
+    observed_at: Option<Time>,
     /// When the last of them appeared.
     appeared_at: Time,
-    /// When streams that began before this process knew the service can no longer be taken up.
+    /// When streams that began before this process knew the service, or while it did not read the
+    /// list, can no longer be taken up.
     earlier_until: Time,
     /// When streams of each version can no longer be taken up, as far as endpoints were known.
     taken_up_until: BTreeMap<Option<Version>, Time>,
@@ -39,6 +46,7 @@
     pub(crate) const fn new(now: Time) -> Self {
         Self {
             counts: VersionCounts::new(),
+            observed_at: None,
             appeared_at: now,
             earlier_until: Time::NEVER,
             taken_up_until: BTreeMap::new(),
@@ -54,11 +62,13 @@
     pub(crate) fn observe(&mut self, now: Time, counts: VersionCounts, take_up_time: Span) {
         self.take_up_time = take_up_time;
         let until = now + take_up_time;
-        if self.earlier_until == Time::NEVER {
+        let has_gap = !self.is_list_current(now);
+        if has_gap {
             self.earlier_until = until;
         }
+        self.observed_at = Some(now);
         self.taken_up_until.retain(|_, at| !at.has_passed(now));
-        if counts.keys().any(|it| !self.counts.contains_key(it)) {
+        if has_gap || counts.keys().any(|it| !self.counts.contains_key(it)) {
             self.appeared_at = now;
         }
         // Streams may have begun at a version until the first list without it.
@@ -68,6 +78,12 @@
         self.counts = counts;
     }
 
+    /// Whether the list is known without a gap up to now.
+    fn is_list_current(&self, now: Time) -> bool {
+        let observed_at = self.observed_at;
+        observed_at.is_some_and(|at| !(at + LIST_GAP_MAX).has_passed(now))
+    }
+
     pub(crate) fn record_default(&mut self, asked_at: Time, version: Option<Option<Version>>) {
         if self
             .default
@@ -124,6 +140,7 @@
         let default = self.current_default(now);
         let others = self.taken_up_until.keys();
         default.is_some()
+            && self.is_list_current(now)
             && self.earlier_until.has_passed(now)
             && others
                 .filter(|version| Some(*version) != default)
@@ -134,10 +151,13 @@
     /// default, or if no stream that may be taken up began there.
     pub(crate) fn due_default(&self, now: Time) -> Option<&Option<Version>> {
         let read = self.default.as_ref()?;
-        if let Some(default) = &read.version {
-            if self.is_in_use(now, default) || !self.earlier_until.has_passed(now) {
-                return None;
-            }
+        if !self.is_list_current(now) {
+            return None;
+        }
+        if let Some(default) = &read.version
+            && (self.is_in_use(now, default) || !self.earlier_until.has_passed(now))
+        {
+            return None;
         }
         let most = self.counts.iter().filter(|(_, count)| **count > 0);
         let most = most.max_by_key(|(_, count)| **count);
