Record the streams of a default that came back until all gateways list it

A default comes back; one gateway lists it, reads the default and leaves its streams unrecorded. Another one does not list it yet, or has sent its change of the default already: its append meets the expected end of the log, so the change holds, and the unrecorded streams count as streams of the new default. Streams of the default are now recorded until it was read 5 s after the version appeared (list 1.5 s, store's queue 2 s, the way), unless it is the only version. A gateway that knows one version reads the default once more at that time; before, it never read it again.

--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -117,7 +117,7 @@
         let default = self
             .services
             .get(service)
-            .and_then(|versions| versions.current_default(now));
+            .and_then(|versions| versions.settled_default(now));
         default.is_none_or(|default| default.as_ref() != version)
     }
 
--- a/crates/origin/src/service.rs
+++ b/crates/origin/src/service.rs
@@ -8,6 +8,11 @@
 /// The number of known endpoints by version; `None` stands for endpoints that state no valid one.
 pub type VersionCounts = BTreeMap<Option<Version>, u32>;
 
+/// Time after which every gateway lists a version that this one lists, and a change of the default
+/// that was decided before has been carried out or never will be: 1.5 s for the list, 2 s in the
+/// store's queue, and the way.
+const SETTLE_TIME: Span = Span::from_ms(5_000);
+
 /// How long a default that was read is relied on while other versions are known.
 const DEFAULT_LEASE: Span = Span::from_ms(3_000);
 
@@ -28,6 +33,8 @@
 pub(crate) struct ServiceVersions {
     /// The versions that have endpoints.
     counts: VersionCounts,
+    /// When each of them appeared.
+    listed_since: BTreeMap<Option<Version>, Time>,
     /// When they were last taken over.
     observed_at: Option<Time>,
     /// When the last of them appeared.
@@ -46,6 +53,7 @@
     pub(crate) const fn new(now: Time) -> Self {
         Self {
             counts: VersionCounts::new(),
+            listed_since: BTreeMap::new(),
             observed_at: None,
             appeared_at: now,
             earlier_until: Time::NEVER,
@@ -68,8 +76,13 @@
         }
         self.observed_at = Some(now);
         self.taken_up_until.retain(|_, at| !at.has_passed(now));
-        if has_gap || counts.keys().any(|it| !self.counts.contains_key(it)) {
-            self.appeared_at = now;
+        self.listed_since
+            .retain(|version, _| !has_gap && counts.contains_key(version));
+        for version in counts.keys() {
+            if !self.listed_since.contains_key(version) {
+                self.listed_since.insert(version.clone(), now);
+                self.appeared_at = now;
+            }
         }
         // Streams may have begun at a version until the first list without it.
         for version in self.counts.keys().chain(counts.keys()) {
@@ -114,6 +127,22 @@
             .flatten()
     }
 
+    /// The default version whose streams need no record. While a version that came back is not
+    /// listed everywhere, a gateway that does not list it may still change the default.
+    pub(crate) fn settled_default(&self, now: Time) -> Option<&Option<Version>> {
+        let default = self.current_default(now)?;
+        (self.is_alone() || self.is_settled(default)).then_some(default)
+    }
+
+    /// Whether the default was read when every gateway listed this version.
+    fn is_settled(&self, version: &Option<Version>) -> bool {
+        let since = self.listed_since.get(version);
+        let read = self.default.as_ref();
+        since
+            .zip(read)
+            .is_some_and(|(since, read)| read.asked_at >= *since + SETTLE_TIME)
+    }
+
     /// Whether the default has to be read: it is not current, or it may be changed soon.
     pub(crate) fn wants_default(&self, now: Time, read_interval: Span) -> bool {
         if self.counts.is_empty() {
@@ -125,7 +154,9 @@
         if read.asked_at < self.appeared_at || read.version.is_none() {
             return true;
         }
-        !self.is_alone() && (read.asked_at + read_interval).has_passed(now)
+        let settled_at = self.appeared_at + SETTLE_TIME;
+        let is_unsettled = read.asked_at < settled_at && settled_at.has_passed(now);
+        is_unsettled || !self.is_alone() && (read.asked_at + read_interval).has_passed(now)
     }
 
     /// Whether a stream that may be taken up may have begun at this version.
