Read the default again before a stream is taken up at it

A look-up took the default from a copy of up to 3 s. Within that time another gateway may have changed the default and begun streams at the new one, which are not recorded: they were refused as streams of a version that is gone, or joined if the old default had come back. The default is now read after the take-up's arrival, as the records are, unless only the default has served.

Test: changed_default failed before.

--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -67,8 +67,8 @@
         versions.observe(now, counts, take_up_time);
     }
 
-    /// Takes over the default versions that the log held when it was asked. Services without one
-    /// have none yet.
+    /// Takes over the default versions that the log held at `asked_at` or later; a relay's copy
+    /// counts from when the relay asked. Services without one have none yet.
     pub fn record_defaults(
         &mut self,
         asked_at: Time,
@@ -134,7 +134,7 @@
             return Lookup::Began(version.clone());
         }
         let versions = self.services.get(service);
-        let default = versions.and_then(|versions| versions.current_default(now));
+        let default = versions.and_then(|it| it.default_read_after(now, arrived_at));
         let only_default = versions.is_some_and(|versions| versions.only_default_served(now));
         let are_read = only_default || self.records_read_at >= Some(arrived_at);
         match default {
@@ -151,7 +151,7 @@
     #[must_use]
     pub fn look_up_unnamed(&self, now: Time, service: &ServiceName, arrived_at: Time) -> Lookup {
         let versions = self.services.get(service);
-        let default = versions.and_then(|versions| versions.current_default(now));
+        let default = versions.and_then(|it| it.default_read_after(now, arrived_at));
         let only_default = versions.is_some_and(|versions| versions.only_default_served(now));
         let are_read = only_default || self.records_read_at >= Some(arrived_at);
         match default {
--- a/crates/origin/src/service.rs
+++ b/crates/origin/src/service.rs
@@ -127,6 +127,18 @@
             .flatten()
     }
 
+    /// The default version of streams that are taken up by requests of `arrived_at`. Another gateway
+    /// may have changed it since an earlier read, and have left streams unrecorded at the new one.
+    pub(crate) fn default_read_after(
+        &self,
+        now: Time,
+        arrived_at: Time,
+    ) -> Option<&Option<Version>> {
+        let read = self.default.as_ref()?;
+        let is_read = self.only_default_served(now) || read.asked_at >= arrived_at;
+        self.current_default(now).filter(|_| is_read)
+    }
+
     /// The default version whose streams need no record. While a version that came back is not
     /// listed everywhere, a gateway that does not list it may still change the default.
     pub(crate) fn settled_default(&self, now: Time) -> Option<&Option<Version>> {
