Bound the records of streams by streams, and drop them when they expire

The bound of 65,536 counted inserts, so 65,536 renewals of one stream dropped the record of another; its next take-up counted as one of the default. Records were dropped at the next insert only, so those of an overlap stayed after its end.

--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -65,6 +65,7 @@
             .entry(service.clone())
             .or_insert_with(|| ServiceVersions::new(now));
         versions.observe(now, counts, take_up_time);
+        self.records.expire(now);
     }
 
     /// Takes over the default versions that the log held at `asked_at` or later; a relay's copy
@@ -86,6 +87,7 @@
         records: impl IntoIterator<Item = StreamRecord>,
         asked_at: Option<Time>,
     ) {
+        self.records.expire(now);
         for record in records {
             self.insert(now, record);
         }
@@ -102,7 +104,8 @@
     pub fn insert(&mut self, now: Time, record: StreamRecord) {
         let times = self.services.values().map(ServiceVersions::take_up_time);
         let take_up_time = times.max().unwrap_or(Span::ZERO);
-        self.records.insert(now, record, now + take_up_time);
+        self.records.expire(now);
+        self.records.insert(record, now + take_up_time);
     }
 
     /// Whether a stream that begins at this version has to be recorded in the log before its first
--- a/crates/origin/src/records.rs
+++ b/crates/origin/src/records.rs
@@ -1,6 +1,6 @@
 //! The records of streams that began at another version than the default.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use lentil_core::Time;
 use lentil_rollout::Version;
@@ -19,12 +19,16 @@
     pub version: Option<Version>,
 }
 
+/// When a record expires; records of one time in the order of their last insert.
+type Expiry = (Time, u64);
+
 /// Records by stream, until they expire.
 #[derive(Debug, Default)]
 pub(crate) struct Records {
-    table: BTreeMap<StreamKey, (Option<Version>, Time)>,
-    /// Keys in the order in which they were inserted, with their expiry.
-    order: VecDeque<(StreamKey, Time)>,
+    table: BTreeMap<StreamKey, (Option<Version>, Expiry)>,
+    by_expiry: BTreeMap<Expiry, StreamKey>,
+    /// Number of inserts.
+    inserted: u64,
 }
 
 impl Records {
@@ -33,36 +37,33 @@
     }
 
     /// Inserts a record. The first one of a stream holds, as a stream does not change its version.
-    pub(crate) fn insert(&mut self, now: Time, record: StreamRecord, expires_at: Time) {
-        self.expire(now);
-        let entry = self
-            .table
-            .entry(record.key)
-            .or_insert_with(|| (record.version, expires_at));
-        entry.1 = entry.1.max(expires_at);
-        self.order.push_back((record.key, expires_at));
-        while self.order.len() > RECORDS_MAX {
-            self.drop_oldest();
+    pub(crate) fn insert(&mut self, record: StreamRecord, expires_at: Time) {
+        let key = record.key;
+        self.inserted += 1;
+        let expiry = (expires_at, self.inserted);
+        let entry = self.table.entry(key).or_insert((record.version, expiry));
+        self.by_expiry.remove(&entry.1);
+        entry.1 = entry.1.max(expiry);
+        self.by_expiry.insert(entry.1, key);
+        while self.table.len() > RECORDS_MAX {
+            self.drop_first();
         }
     }
 
     /// Drops the records that no caller can refer to any more.
-    fn expire(&mut self, now: Time) {
-        while self.order.front().is_some_and(|(_, at)| at.has_passed(now)) {
-            self.drop_oldest();
+    pub(crate) fn expire(&mut self, now: Time) {
+        while self
+            .by_expiry
+            .first_key_value()
+            .is_some_and(|((at, _), _)| at.has_passed(now))
+        {
+            self.drop_first();
         }
     }
 
-    fn drop_oldest(&mut self) {
-        let Some((key, expires_at)) = self.order.pop_front() else {
-            return;
-        };
-        // A record that was renewed has a later expiry.
-        if self
-            .table
-            .get(&key)
-            .is_some_and(|(_, at)| *at <= expires_at)
-        {
+    /// Drops the record that expires first.
+    fn drop_first(&mut self) {
+        if let Some((_, key)) = self.by_expiry.pop_first() {
             self.table.remove(&key);
         }
     }
