Look into the log before a stream is taken up, also if the list holds one version

A gateway that had seen only the default for the take-up time took streams up there without a read. Lists reach gateways 0.2 to 1.5 s late, so a stream that began at a new version and broke off within that time was joined.

For a log that can't be read look_up_without_log() gives the default under the former condition, so that callers of this crate choose between a refusal with Retry-After and the remaining risk.

Tests: late_list failed before. It asked for the records alone in the first answer; it now reads the default too, as that may have changed as well, and checks a stream without record. without_log is new.

--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -136,16 +136,9 @@
         if let Some(version) = self.records.get(key) {
             return Lookup::Began(version.clone());
         }
-        let versions = self.services.get(service);
-        let default = versions.and_then(|it| it.default_read_after(now, arrived_at));
-        let only_default = versions.is_some_and(|versions| versions.only_default_served(now));
-        let are_read = only_default || self.records_read_at >= Some(arrived_at);
-        match default {
-            Some(default) if are_read => Lookup::Began(default.clone()),
-            _ => Lookup::Unread {
-                default: default.is_none(),
-                records: !are_read,
-            },
+        match self.default_if_read(now, service, arrived_at) {
+            Ok(default) => Lookup::Began(default.clone()),
+            Err(unread) => unread,
         }
     }
 
@@ -153,22 +146,47 @@
     /// naming the attempt that began it.
     #[must_use]
     pub fn look_up_unnamed(&self, now: Time, service: &ServiceName, arrived_at: Time) -> Lookup {
-        let versions = self.services.get(service);
-        let default = versions.and_then(|it| it.default_read_after(now, arrived_at));
-        let only_default = versions.is_some_and(|versions| versions.only_default_served(now));
-        let are_read = only_default || self.records_read_at >= Some(arrived_at);
-        match default {
-            Some(default) if only_default || (are_read && self.records.len() == 0) => {
+        match self.default_if_read(now, service, arrived_at) {
+            Ok(default) if self.only_default_served(now, service) || self.records.len() == 0 => {
                 Lookup::Began(default.clone())
             }
-            Some(_) if are_read => Lookup::Unknown,
-            _ => Lookup::Unread {
-                default: default.is_none(),
-                records: !are_read,
-            },
+            Ok(_) => Lookup::Unknown,
+            Err(unread) => unread,
         }
     }
 
+    /// Returns the version at which a stream began whose look-up needs the log, if the log can't be
+    /// read: the default, if this gateway has seen no other version for the take-up time. A version
+    /// that has appeared within the last seconds may be missing from its list.
+    #[must_use]
+    pub fn look_up_without_log(&self, now: Time, service: &ServiceName) -> Option<Option<Version>> {
+        let versions = self.services.get(service)?;
+        let default = versions.current_default(now)?;
+        versions.only_default_served(now).then(|| default.clone())
+    }
+
+    fn only_default_served(&self, now: Time, service: &ServiceName) -> bool {
+        let versions = self.services.get(service);
+        versions.is_some_and(|versions| versions.only_default_served(now))
+    }
+
+    /// The default version, if it and the records were read after `arrived_at`. The gateway's list
+    /// may lag behind those of others, so that it does not tell whether records exist.
+    fn default_if_read(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        arrived_at: Time,
+    ) -> Result<&Option<Version>, Lookup> {
+        let versions = self.services.get(service);
+        let default = versions.and_then(|it| it.default_read_after(now, arrived_at));
+        let are_read = self.has_read_records(arrived_at);
+        default.filter(|_| are_read).ok_or(Lookup::Unread {
+            default: default.is_none(),
+            records: !are_read,
+        })
+    }
+
     /// Whether the default versions have to be read.
     #[must_use]
     pub fn wants_defaults(&self, now: Time) -> bool {
--- a/crates/origin/src/service.rs
+++ b/crates/origin/src/service.rs
@@ -135,8 +135,8 @@
         arrived_at: Time,
     ) -> Option<&Option<Version>> {
         let read = self.default.as_ref()?;
-        let is_read = self.only_default_served(now) || read.asked_at >= arrived_at;
-        self.current_default(now).filter(|_| is_read)
+        self.current_default(now)
+            .filter(|_| read.asked_at >= arrived_at)
     }
 
     /// The default version whose streams need no record. While a version that came back is not
--- a/crates/origin/tests/it/look_ups.rs
+++ b/crates/origin/tests/it/look_ups.rs
@@ -89,13 +89,30 @@
     list(&mut origins, ms(0), "v1");
     read_default(&mut origins, ms(10), Some("v1"));
     list_until(&mut origins, ms(1_000), ms(60_000), "v1");
-    let unread = Lookup::Unread {
-        default: false,
-        records: true,
-    };
-    assert_eq!(look_up(&origins, ms(60_500), "a1"), unread);
+    let unread = look_up(&origins, ms(60_500), "a1");
+    assert!(matches!(unread, Lookup::Unread { records: true, .. }));
+    read_default(&mut origins, ms(60_510), Some("v1"));
     read_records(&mut origins, ms(60_510), vec![record("a1", "v2")]);
     assert_eq!(look_up(&origins, ms(60_510), "a1"), began("v2"));
+    assert_eq!(look_up(&origins, ms(60_510), "a2"), began("v1"));
+}
+
+/// Guards against refusals while only the default serves and the log can't be read, and against
+/// guesses otherwise.
+#[test]
+fn without_log() {
+    let mut origins = Origins::default();
+    list(&mut origins, ms(0), "v1");
+    read_default(&mut origins, ms(10), Some("v1"));
+    assert_eq!(origins.look_up_without_log(ms(10), &service()), None);
+    list_until(&mut origins, ms(1_000), ms(60_000), "v1");
+    read_default(&mut origins, ms(5_000), Some("v1"));
+    let known = origins.look_up_without_log(ms(60_000), &service());
+    assert_eq!(known, Some(Some(version("v1"))));
+    assert_eq!(origins.look_up_without_log(ms(66_000), &service()), None);
+    list(&mut origins, ms(61_000), "v1 v2");
+    read_default(&mut origins, ms(61_000), Some("v1"));
+    assert_eq!(origins.look_up_without_log(ms(61_000), &service()), None);
 }
 
 /// Guards against refusals of old callers while only the default has served, and against guesses
@@ -106,6 +123,7 @@
     list(&mut origins, ms(0), "v1");
     read_default(&mut origins, ms(10), Some("v1"));
     list_until(&mut origins, ms(1_000), ms(60_000), "v1");
+    read_default(&mut origins, ms(60_000), Some("v1"));
     read_records(&mut origins, ms(60_000), vec![]);
     assert_eq!(look_up_unnamed(&origins, ms(60_000)), began("v1"));
     list(&mut origins, ms(61_000), "v1 v2");
