--- a/crates/origin/tests/it/default_versions.rs
+++ b/crates/origin/tests/it/default_versions.rs
@@ -128,3 +128,20 @@
     list_until(&mut origins, ms(11_000), ms(60_000), "v1");
     assert!(!origins.wants_defaults(ms(60_000)));
 }
+
+/// Guards against unrecorded streams at a default that comes back and is soon the only version
+/// listed, while another gateway's change of the default is on its way.
+#[test]
+fn comeback_alone() {
+    let mut origins = Origins::default();
+    list_until(&mut origins, ms(0), ms(5_000), "v1 v2");
+    read_default(&mut origins, ms(5_000), Some("v1"));
+    list_until(&mut origins, ms(6_000), ms(25_000), "v2");
+    list(&mut origins, ms(25_500), "v1 v2");
+    list(&mut origins, ms(26_000), "v1");
+    read_default(&mut origins, ms(26_100), Some("v1"));
+    assert!(needs_record(&origins, ms(26_200), "v1"));
+    list_until(&mut origins, ms(27_000), ms(32_000), "v1");
+    read_default(&mut origins, ms(32_000), Some("v1"));
+    assert!(!needs_record(&origins, ms(32_100), "v1"));
+}
