Record the streams of a default that came back while streams of other versions may be taken up

It now asks that no other version was listed for the take-up time.

Test: comeback_alone failed before.

--- a/crates/origin/src/service.rs
+++ b/crates/origin/src/service.rs
@@ -143,7 +143,7 @@
     /// listed everywhere, a gateway that does not list it may still change the default.
     pub(crate) fn settled_default(&self, now: Time) -> Option<&Option<Version>> {
         let default = self.current_default(now)?;
-        (self.is_alone() || self.is_settled(default)).then_some(default)
+        (self.no_other_in_use(now, default) || self.is_settled(default)).then_some(default)
     }
 
     /// Whether the default was read when every gateway listed this version.
@@ -177,17 +177,18 @@
         self.counts.contains_key(version) || until.is_some_and(|until| !until.has_passed(now))
     }
 
+    fn no_other_in_use(&self, now: Time, version: &Option<Version>) -> bool {
+        let mut others = self.taken_up_until.keys().filter(|it| *it != version);
+        others.all(|other| !self.is_in_use(now, other))
+    }
+
     /// Whether every stream that may be taken up began at the default version: no other one was
     /// known for the take-up time.
     pub(crate) fn only_default_served(&self, now: Time) -> bool {
         let default = self.current_default(now);
-        let others = self.taken_up_until.keys();
-        default.is_some()
+        default.is_some_and(|default| self.no_other_in_use(now, default))
             && self.is_list_current(now)
             && self.earlier_until.has_passed(now)
-            && others
-                .filter(|version| Some(*version) != default)
-                .all(|version| !self.is_in_use(now, version))
     }
 
     /// The version that should become the default: the one with the most endpoints if there is no
