Check the versions of streams in a seeded simulation of gateways, engines, callers and the store

Four gateways with the real Origins start, lose power, are cut from the store and list endpoints 0.2 to 1.5 s late; engines of two to four versions come, overlap, drain, crash and come back; the store is away, carries out appends late, loses answers and, in one of eight seeds, comes back from a copy 0.5 to 5 s old. Callers take streams up at any gateway within the route's timeout, some without an attempt or with a wrong one.

Checked: a stream holds events of one version, unless its record was not in the log or the log could not be read while a version was new; a take-up whose version serves goes on if the log can be read; each look-up is decided within 400 ms then; nothing is recorded while only the default serves; a gateway keeps no more records than were appended within the time that they may be kept. A violation is printed with a trace that is shrunk by kinds of fault.

--- a/crates/origin/tests/it/main.rs
+++ b/crates/origin/tests/it/main.rs
@@ -10,5 +10,6 @@
 mod default_versions;
 mod fixtures;
 mod look_ups;
+mod model;
 mod records;
 mod stream_keys;
