Test the take-up times of short, missing and shortened timeouts; two cases fail

short_timeout: a take-up time of 2 s is shorter than the time for which a gateway with an older list begins streams at engines that drain.

shorter_timeout: streams that began under a longer timeout are protected by the shorter one of a later configuration.

--- a/crates/origin/tests/it/default_versions.rs
+++ b/crates/origin/tests/it/default_versions.rs
@@ -1,8 +1,9 @@
 //! The default version of a service, and when it changes.
 
+use lentil_core::Span;
 use lentil_origin::Origins;
 
-use crate::fixtures::{due, list, list_until, ms, needs_record, read_default};
+use crate::fixtures::{due, list, list_until, list_with, ms, needs_record, read_default};
 
 /// Guards against a first default that is written before the log has been read.
 #[test]
@@ -87,6 +88,60 @@
     assert_eq!(due(&origins, ms(26_000)), None);
 }
 
+/// Guards against a change while a gateway with an older list may still begin unrecorded streams,
+/// on routes whose timeout is shorter than the lag of lists.
+#[test]
+fn short_timeout() {
+    let mut origins = Origins::default();
+    let take_up_time = Span::from_s(2);
+    list_with(&mut origins, ms(0), "v1 v2", take_up_time);
+    read_default(&mut origins, ms(10), Some("v1"));
+    let mut due_at = |at_ms| {
+        list_with(&mut origins, ms(at_ms), "v2", take_up_time);
+        due(&origins, ms(at_ms))
+    };
+    for at_ms in (1_000..11_000).step_by(1_000) {
+        assert_eq!(due_at(at_ms), None, "{at_ms}");
+    }
+    assert_eq!(due_at(11_000).as_deref(), Some("v2"));
+}
+
+/// Guards against a change while the default is listed, on a service without resumable routes.
+#[test]
+fn no_timeout() {
+    let mut origins = Origins::default();
+    list_with(&mut origins, ms(0), "v1 v2 v2", Span::ZERO);
+    read_default(&mut origins, ms(10), Some("v1"));
+    assert_eq!(due(&origins, ms(20)), None);
+}
+
+/// Guards against a change while streams that began under a longer timeout may be taken up.
+#[test]
+fn shorter_timeout() {
+    let mut origins = Origins::default();
+    for at_s in 0..60 {
+        list_with(&mut origins, ms(at_s * 1_000), "v1 v2", Span::from_s(40));
+    }
+    read_default(&mut origins, ms(59_000), Some("v1"));
+    list_until(&mut origins, ms(60_000), ms(99_000), "v2");
+    assert_eq!(due(&origins, ms(98_900)), None);
+    list_until(&mut origins, ms(99_000), ms(101_000), "v2");
+    assert_eq!(due(&origins, ms(101_000)).as_deref(), Some("v2"));
+}
+
+/// Guards against a copy of the default from before a time in which the list was not read.
+#[test]
+fn default_after_gap() {
+    let mut origins = Origins::default();
+    list(&mut origins, ms(0), "v1");
+    read_default(&mut origins, ms(10), Some("v1"));
+    list(&mut origins, ms(60_000), "v1");
+    assert!(origins.wants_defaults(ms(60_000)));
+    assert!(needs_record(&origins, ms(60_000), "v1"));
+    read_default(&mut origins, ms(60_010), Some("v1"));
+    assert!(!needs_record(&origins, ms(60_020), "v1"));
+}
+
 /// Guards against a change by a gateway whose list was not read for a while: the default may have
 /// come back meanwhile.
 #[test]
--- a/crates/origin/tests/it/fixtures.rs
+++ b/crates/origin/tests/it/fixtures.rs
@@ -37,11 +37,16 @@
 
 /// Takes over a list of endpoints, as in `"v1 v1 v2"`.
 pub(crate) fn list(origins: &mut Origins, now: Time, versions: &str) {
+    list_with(origins, now, versions, TAKE_UP);
+}
+
+/// The same, with a take-up time of its own.
+pub(crate) fn list_with(origins: &mut Origins, now: Time, versions: &str, take_up_time: Span) {
     let mut counts = VersionCounts::new();
     for name in versions.split_whitespace() {
         *counts.entry(Some(version(name))).or_default() += 1;
     }
-    origins.observe(now, &service(), counts, TAKE_UP);
+    origins.observe(now, &service(), counts, take_up_time);
 }
 
 /// Takes over the default version that the log held at `asked_at`.
