Keep a default for 10 s at least after it has left, and under the longest timeout that applied

It is 10 s at least, so it exceeds the timeout by 5 s or more. A shorter take-up time of a later configuration no longer replaces the time of streams that began before.

--- a/crates/origin/src/service.rs
+++ b/crates/origin/src/service.rs
@@ -16,6 +16,10 @@
 /// How long a default that was read is relied on while other versions are known.
 const DEFAULT_LEASE: Span = Span::from_ms(3_000);
 
+/// Shortest take-up time. A gateway begins streams at a version for some seconds after others have
+/// seen it leave: its list is older, and engines answer while they drain.
+const TAKE_UP_TIME_MIN: Span = Span::from_ms(10_000);
+
 /// Longest time between two lists of endpoints of which the second still tells what served
 /// meanwhile. Lists are read every second and reach a gateway up to 1.5 s late.
 const LIST_GAP_MAX: Span = Span::from_ms(5_000);
@@ -68,8 +72,8 @@
     }
 
     pub(crate) fn observe(&mut self, now: Time, counts: VersionCounts, take_up_time: Span) {
-        self.take_up_time = take_up_time;
-        let until = now + take_up_time;
+        self.take_up_time = take_up_time.max(TAKE_UP_TIME_MIN);
+        let until = now + self.take_up_time;
         let has_gap = !self.is_list_current(now);
         if has_gap {
             self.earlier_until = until;
@@ -86,7 +90,8 @@
         }
         // Streams may have begun at a version until the first list without it.
         for version in self.counts.keys().chain(counts.keys()) {
-            self.taken_up_until.insert(version.clone(), until);
+            let at = self.taken_up_until.entry(version.clone()).or_insert(until);
+            *at = until.max(*at);
         }
         self.counts = counts;
     }
