--- a/crates/origin/tests/it/model.rs
+++ b/crates/origin/tests/it/model.rs
@@ -16,11 +16,6 @@
 const SEEDS: u64 = 40;
 const WORKERS: u64 = 4;
 const STEP: Span = Span::from_ms(50);
-/// The route's timeout, in which a stream begins, is taken up and ends.
-const TIMEOUT: Span = Span::from_s(8);
-const TAKE_UP: Span = TIMEOUT.times(2);
-/// How long the store keeps records.
-const RETENTION: Span = TAKE_UP.times(2);
 const CALL_TIMEOUT: Span = Span::from_ms(500);
 /// How long a first event waits for its record.
 const RECORD_WAIT: Span = Span::from_ms(500);
@@ -39,6 +34,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Setup {
     seed: u64,
+    /// The route's timeout, in which a stream begins, is taken up and ends.
+    timeout: Span,
     gateways: usize,
     versions: usize,
     power: bool,
@@ -49,6 +46,17 @@
     restore: bool,
 }
 
+impl Setup {
+    fn take_up(&self) -> Span {
+        self.timeout.times(2).max(Span::from_s(10))
+    }
+
+    /// How long the store keeps records.
+    fn retention(&self) -> Span {
+        self.take_up().times(2)
+    }
+}
+
 struct Engine {
     version: MaybeVersion,
     is_listed: bool,
@@ -469,7 +477,7 @@
                 // A position after a restored log's end was deleted; the reader begins again.
                 let from = if from > end { 0 } else { from };
                 let new = self.store.records[from..].iter();
-                let kept = new.filter(|(at, _)| !(*at + RETENTION).has_passed(now));
+                let kept = new.filter(|(at, _)| !(*at + self.setup.retention()).has_passed(now));
                 Answer::Records(kept.map(|(_, it)| it.clone()).collect(), end)
             }
             Call::Change { at, to } => {
@@ -496,7 +504,7 @@
     /// Checks that nothing is recorded while only the default serves and the log can be read.
     fn check_needed(&mut self, id: Id) {
         let default = self.store.defaults.last().map(|(_, at)| at);
-        let span = TAKE_UP + Span::from_s(8);
+        let span = self.setup.take_up() + Span::from_s(8);
         let gateway = &self.gateways[id];
         let since = self.now - span;
         let earlier = self
@@ -570,11 +578,16 @@
             for (_, version) in &gateway.listed {
                 *counts.entry(version.clone()).or_default() += 1;
             }
-            gateway.origins.observe(now, &service(), counts, TAKE_UP);
+            gateway
+                .origins
+                .observe(now, &service(), counts, self.setup.timeout.times(2));
         }
         let recent = self.appended.iter().rev();
         let recent = recent
-            .take_while(|at| !(**at + RETENTION + TAKE_UP + Span::from_s(1)).has_passed(now))
+            .take_while(|at| {
+                !(**at + self.setup.retention() + self.setup.take_up() + Span::from_s(1))
+                    .has_passed(now)
+            })
             .count();
         let gateway = &mut self.gateways[id];
         let kept = gateway.origins.record_count();
@@ -629,7 +642,7 @@
             1 => Named::Wrong,
             _ => Named::Right,
         };
-        let ends_at = self.now + self.ms(500, TIMEOUT.as_ms());
+        let ends_at = self.now + self.ms(500, self.setup.timeout.as_ms());
         self.streams.push(Stream {
             key: key(&id.to_string()),
             named,
@@ -638,7 +651,7 @@
             boot: self.gateways[gateway].boot,
             engine,
             began_at: self.now,
-            deadline: self.now + TIMEOUT,
+            deadline: self.now + self.setup.timeout,
             ends_at,
             state: State::Starting {
                 since: self.now,
@@ -874,6 +887,7 @@
 fn setup(seed: u64) -> Setup {
     Setup {
         seed,
+        timeout: Span::from_s([1, 3, 8][(seed / 8 % 3) as usize]),
         gateways: 4,
         versions: 2 + (seed % 3) as usize,
         power: true,
