Read the log anew after a restore of the store, and write a lost default again

After a restore a gateway went on by what it had read before; one that listed a single version never read the default again. If the first default was lost, the next one was the version with the most endpoints, though unrecorded streams had begun at the lost one. forget_reads() drops what is known of the log; a default that the log has lost is written again while streams of it may be taken up. The caller appends its own records of the last seconds again.

Test: restored_store is new.

--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -44,6 +44,8 @@
     records: Records,
     /// When the records were read, to their end.
     records_read_at: Option<Time>,
+    /// Reads from before this time do not count.
+    forgotten_at: Time,
 }
 
 impl Origins {
@@ -75,6 +77,9 @@
         asked_at: Time,
         defaults: &BTreeMap<ServiceName, Option<Version>>,
     ) {
+        if asked_at < self.forgotten_at {
+            return;
+        }
         for (service, versions) in &mut self.services {
             versions.record_default(asked_at, defaults.get(service).cloned());
         }
@@ -91,9 +96,21 @@
         for record in records {
             self.insert(now, record);
         }
+        let asked_at = asked_at.filter(|at| *at >= self.forgotten_at);
         self.records_read_at = self.records_read_at.max(asked_at);
     }
 
+    /// Forgets up to when the log was read, after the store has come back from an older copy. What
+    /// was appended since that copy is lost: the caller appends its own records of the last seconds
+    /// again.
+    pub fn forget_reads(&mut self, now: Time) {
+        self.forgotten_at = now;
+        self.records_read_at = None;
+        for versions in self.services.values_mut() {
+            versions.forget_read();
+        }
+    }
+
     /// Whether the records were read to their end, after `wanted_at`.
     #[must_use]
     pub fn has_read_records(&self, wanted_at: Time) -> bool {
--- a/crates/origin/src/service.rs
+++ b/crates/origin/src/service.rs
@@ -49,6 +49,8 @@
     /// When streams of each version can no longer be taken up, as far as endpoints were known.
     taken_up_until: BTreeMap<Option<Version>, Time>,
     default: Option<ReadDefault>,
+    /// The last default that the log held.
+    last_default: Option<Option<Version>>,
     /// The longest time after its first event at which a stream may be taken up.
     take_up_time: Span,
 }
@@ -63,6 +65,7 @@
             earlier_until: Time::NEVER,
             taken_up_until: BTreeMap::new(),
             default: None,
+            last_default: None,
             take_up_time: Span::ZERO,
         }
     }
@@ -108,10 +111,15 @@
             .as_ref()
             .is_none_or(|known| known.asked_at <= asked_at)
         {
+            self.last_default = version.clone().or_else(|| self.last_default.take());
             self.default = Some(ReadDefault { version, asked_at });
         }
     }
 
+    pub(crate) fn forget_read(&mut self) {
+        self.default = None;
+    }
+
     /// The default version, if it was read.
     fn default_version(&self) -> Option<&Option<Version>> {
         self.default.as_ref()?.version.as_ref()
@@ -197,7 +205,8 @@
     }
 
     /// The version that should become the default: the one with the most endpoints if there is no
-    /// default, or if no stream that may be taken up began there.
+    /// default, or if no stream that may be taken up began there. A default that the log has lost
+    /// is written again, as unrecorded streams began there.
     pub(crate) fn due_default(&self, now: Time) -> Option<&Option<Version>> {
         let read = self.default.as_ref()?;
         if !self.is_list_current(now) {
@@ -208,8 +217,10 @@
         {
             return None;
         }
+        let lost = self.last_default.as_ref();
+        let lost = lost.filter(|it| read.version.is_none() && self.is_in_use(now, it));
         let most = self.counts.iter().filter(|(_, count)| **count > 0);
         let most = most.max_by_key(|(_, count)| **count);
-        most.map(|(version, _)| version)
+        lost.or_else(|| most.map(|(version, _)| version))
     }
 }
--- a/crates/origin/tests/it/default_versions.rs
+++ b/crates/origin/tests/it/default_versions.rs
@@ -200,3 +200,23 @@
     read_default(&mut origins, ms(32_000), Some("v1"));
     assert!(!needs_record(&origins, ms(32_100), "v1"));
 }
+
+/// Guards against another first default after a restore of the store that lost it, while streams of
+/// the lost one may be taken up.
+#[test]
+fn restored_store() {
+    let mut origins = Origins::default();
+    list(&mut origins, ms(0), "v1 v1");
+    read_default(&mut origins, ms(10), Some("v1"));
+    list_until(&mut origins, ms(1_000), ms(6_000), "v1 v2 v2");
+    read_default(&mut origins, ms(6_000), Some("v1"));
+    origins.forget_reads(ms(6_000));
+    read_default(&mut origins, ms(5_900), Some("v1"));
+    assert!(needs_record(&origins, ms(6_000), "v1") && origins.wants_defaults(ms(6_000)));
+    assert_eq!(due(&origins, ms(6_000)), None);
+    read_default(&mut origins, ms(6_010), None);
+    assert_eq!(due(&origins, ms(6_020)).as_deref(), Some("v1"));
+    list_until(&mut origins, ms(7_000), ms(30_000), "v2 v2");
+    read_default(&mut origins, ms(30_000), None);
+    assert_eq!(due(&origins, ms(30_000)).as_deref(), Some("v2"));
+}
