Let gateways of the model follow a restore of the store by its era

On the first answer with another era they forget their reads and append their own records of the last 10 s again.

Wrong attempts are now counted as such also after a restore.

--- a/crates/origin/tests/it/model.rs
+++ b/crates/origin/tests/it/model.rs
@@ -24,6 +24,8 @@
 const LOOK_UP_MAX: Span = Span::from_ms(400);
 /// Longest lag of a gateway's list.
 const LAG_MAX_MS: u64 = 1_500;
+/// How long gateways keep records that a restore of the store may lose.
+const LOST_MAX: Span = Span::from_s(10);
 /// Age up to which a list that can't be read again is relied on.
 const LIST_AGE_MAX: Span = Span::from_s(5);
 
@@ -82,7 +84,7 @@
 
 enum Event {
     Arrive(Id, u64, Call, Time),
-    Answered(Id, u64, Answer, Time),
+    Answered(Id, u64, Answer, Time, u64),
 }
 
 #[derive(Default)]
@@ -91,6 +93,8 @@
     records: Vec<(Time, StreamRecord)>,
     away_until: Time,
     restored: bool,
+    /// Number of restores, named in each answer.
+    era: u64,
 }
 
 struct Gateway {
@@ -109,6 +113,9 @@
     default_end: usize,
     records_end: usize,
     queue: Vec<StreamRecord>,
+    /// What was appended, to be appended again after a restore of the store.
+    sent: Vec<(Time, StreamRecord)>,
+    era: Option<u64>,
     /// When a call of this gateway last failed, was slow or lost its answer.
     fault_at: Time,
 }
@@ -213,6 +220,8 @@
             default_end: 0,
             records_end: 0,
             queue: Vec::new(),
+            sent: Vec::new(),
+            era: None,
             fault_at: Time::ZERO,
         }
     }
@@ -404,6 +413,7 @@
             self.store.defaults.retain(|(at, _)| *at < kept);
             self.store.records.retain(|(at, _)| *at < kept);
             self.store.restored = true;
+            self.store.era += 1;
             self.note(|| format!("store restored from {kept}"));
         }
     }
@@ -455,9 +465,13 @@
                     return;
                 }
                 let way = self.ms(1, 10);
-                self.push(way, Event::Answered(id, boot, answer, asked_at));
+                self.push(
+                    way,
+                    Event::Answered(id, boot, answer, asked_at, self.store.era),
+                );
             }
-            Event::Answered(id, boot, answer, asked_at) if self.gateways[id].boot == boot => {
+            Event::Answered(id, boot, answer, asked_at, era) if self.gateways[id].boot == boot => {
+                self.on_era(id, era);
                 self.on_answer(id, answer, asked_at);
             }
             Event::Answered(..) => {}
@@ -523,6 +537,23 @@
         }
     }
 
+    /// Appends the gateway's own records of the last seconds again if the store was restored.
+    fn on_era(&mut self, id: Id, era: u64) {
+        let now = self.now;
+        let gateway = &mut self.gateways[id];
+        if gateway.era.replace(era).is_some_and(|known| known != era) {
+            gateway.origins.forget_reads(now);
+            gateway.records_end = 0;
+            gateway.wants_default = true;
+            let recent = gateway
+                .sent
+                .iter()
+                .filter(|(at, _)| !(*at + LOST_MAX).has_passed(now));
+            gateway.queue.extend(recent.map(|(_, it)| it.clone()));
+            gateway.fault_at = now;
+        }
+    }
+
     fn on_answer(&mut self, id: Id, answer: Answer, asked_at: Time) {
         let now = self.now;
         let gateway = &mut self.gateways[id];
@@ -546,7 +577,13 @@
             }
             Answer::Appended(done) => {
                 gateway.busy_until[3] = Time::ZERO;
-                gateway.queue.retain(|it| !done.contains(&it.key));
+                let (written, left) = gateway
+                    .queue
+                    .drain(..)
+                    .partition(|it| done.contains(&it.key));
+                gateway.queue = left;
+                let written: Vec<StreamRecord> = written;
+                gateway.sent.extend(written.into_iter().map(|it| (now, it)));
                 let boot = gateway.boot;
                 for stream in self.streams.iter_mut().rev().take(200) {
                     let is_own = stream.gateway == id && stream.boot == boot;
@@ -837,7 +874,9 @@
             .iter()
             .filter(|(_, it)| it.key == stream.key);
         let was_written = written.any(|(at, _)| *at < since);
-        let reason = if stream.is_unrecorded && !was_written {
+        let reason = if stream.named == Named::Wrong {
+            "wrong attempt named"
+        } else if stream.is_unrecorded && !was_written {
             "record not written"
         } else if self.store.restored && self.appended_keys.contains(&stream.key) && !was_written {
             "store restored, record lost"
@@ -845,8 +884,6 @@
             "store restored, default lost"
         } else if !is_read && self.is_new(&began, self.now - LIST_AGE_MAX) {
             "log not read, version new"
-        } else if stream.named == Named::Wrong {
-            "wrong attempt named"
         } else if stream.named == Named::Not && self.is_new(&began, stream.began_at) {
             "no attempt named, version new"
         } else {
