--- a/crates/lentiltray/tests/it/fake_http.rs
+++ b/crates/lentiltray/tests/it/fake_http.rs
@@ -284,45 +284,49 @@
 
     /// Reads the next response; `None` if the connection closes without one.
     pub(crate) fn receive(&mut self) -> Option<ReceivedResponse> {
+        let mut response = self.receive_head()?;
+        self.receive_body(&mut response);
+        Some(response)
+    }
+
+    /// Reads the head of the next response; `None` if the connection closes without one.
+    pub(crate) fn receive_head(&mut self) -> Option<ReceivedResponse> {
         let lines = read_head(&mut self.reader)?;
-        let status = lines.first()?.split(' ').nth(1)?.parse().unwrap();
-        let headers = headers(&lines);
-        let mut response = ReceivedResponse {
-            status,
-            headers,
+        Some(ReceivedResponse {
+            status: lines.first()?.split(' ').nth(1)?.parse().unwrap(),
+            headers: headers(&lines),
             body: String::new(),
             complete: false,
-        };
+        })
+    }
+
+    /// Reads the body that follows a head.
+    pub(crate) fn receive_body(&mut self, response: &mut ReceivedResponse) {
         if let Some(length) = response.header("content-length") {
             let mut body = vec![0; length.parse().unwrap()];
             response.complete = self.reader.read_exact(&mut body).is_ok();
             response.body = String::from_utf8_lossy(&body).into_owned();
         } else {
-            self.read_chunks(&mut response);
+            while self.receive_chunk(response) {}
         }
-        Some(response)
     }
 
-    fn read_chunks(&mut self, response: &mut ReceivedResponse) {
-        loop {
-            let mut size = String::new();
-            if self.reader.read_line(&mut size).unwrap_or(0) == 0 {
-                return;
-            }
-            let Ok(size) = usize::from_str_radix(size.trim(), 16) else {
-                return;
-            };
-            let mut bytes = vec![0; size + 2];
-            if self.reader.read_exact(&mut bytes).is_err() {
-                return;
-            }
-            if size == 0 {
-                response.complete = true;
-                return;
-            }
-            response
-                .body
-                .push_str(&String::from_utf8_lossy(&bytes[..size]));
+    /// Reads one chunk of a body. Returns whether more may follow.
+    pub(crate) fn receive_chunk(&mut self, response: &mut ReceivedResponse) -> bool {
+        let mut size = String::new();
+        if self.reader.read_line(&mut size).unwrap_or(0) == 0 {
+            return false;
+        }
+        let Ok(size) = usize::from_str_radix(size.trim(), 16) else {
+            return false;
+        };
+        let mut bytes = vec![0; size + 2];
+        if self.reader.read_exact(&mut bytes).is_err() {
+            return false;
         }
+        response.complete = size == 0;
+        let text = String::from_utf8_lossy(&bytes[..size]);
+        response.body.push_str(&text);
+        !response.complete
     }
 }
--- a/crates/lentiltray/tests/it/fake_store.rs
+++ b/crates/lentiltray/tests/it/fake_store.rs
@@ -1,7 +1,6 @@
 //! A fake of the platform's log service that can simulate outages.
 
 use std::collections::BTreeMap;
-use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -9,6 +8,7 @@
 use serde_json::{Value, json};
 
 use crate::fake_http::{ConnectionAction, Request, Server, response_with_length};
+use crate::gateway_harness::write_response;
 
 /// How the store responds to requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -23,9 +23,29 @@
     OrderReads(usize),
 }
 
+/// What the store does with calls that it does not execute.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallFault {
+    /// It rejects them with this status.
+    Refused(u16),
+    /// It closes their connections without a response after some time.
+    Unanswered,
+}
+
+/// Topics that others than the gateways write to, or that hold the status of roll-outs.
+const PLATFORM_TOPICS: [&str; 3] = ["keyed.op", "keyed.servers", "keyed.status"];
+
+/// Prefix of topics whose records consist of a key and a value. Those of other topics are
+/// raw bytes.
+const KEYED_PREFIX: &str = "keyed.";
+
+/// Time after which the store closes the connection of a call that it doesn't answer.
+const UNANSWERED_TIME: Duration = Duration::from_secs(2);
+
 #[derive(Debug, Default)]
 struct Topic {
     first: usize,
+    /// Keys and values; the key is empty in a topic of raw records.
     records: Vec<(String, Vec<u8>)>,
 }
 
@@ -39,6 +59,12 @@
     /// Appends whose body contains this text are dropped without a response.
     dropped_text: Option<String>,
     dropped_appends: usize,
+    /// What becomes of all appends.
+    append_fault: Option<CallFault>,
+    /// What becomes of reads of topics that are not in [`PLATFORM_TOPICS`].
+    read_fault: Option<CallFault>,
+    /// Number of records that calls have appended to topics not in [`PLATFORM_TOPICS`].
+    appended: usize,
 }
 
 /// A running fake store.
@@ -110,6 +136,33 @@
         self.state.lock().unwrap().dropped_appends
     }
 
+    /// Sets what becomes of all further appends; reads are served as before.
+    pub(crate) fn set_append_fault(&self, fault: Option<CallFault>) {
+        self.state.lock().unwrap().append_fault = fault;
+    }
+
+    /// Sets what becomes of further reads of the topics that the gateways keep for
+    /// themselves; other calls are served as before.
+    pub(crate) fn set_read_fault(&self, fault: Option<CallFault>) {
+        self.state.lock().unwrap().read_fault = fault;
+    }
+
+    /// Number of records that were appended to the topics that the gateways keep for
+    /// themselves.
+    pub(crate) fn appended(&self) -> usize {
+        self.state.lock().unwrap().appended
+    }
+
+    /// Deletes the history of all topics that the gateways keep for themselves.
+    pub(crate) fn expire_records(&self) {
+        let mut state = self.state.lock().unwrap();
+        for (name, topic) in &mut state.topics {
+            if !PLATFORM_TOPICS.contains(&name.as_str()) {
+                topic.first = topic.records.len();
+            }
+        }
+    }
+
     /// Deletes the history. The newest record of each key can still be read from
     /// `/v1/log-newest`.
     pub(crate) fn compact(&self, topic: &str) {
@@ -136,6 +189,16 @@
         std::thread::sleep(Duration::from_secs(2));
         return ConnectionAction::Close;
     }
+    match call_fault(state, request) {
+        Some(CallFault::Unanswered) => {
+            std::thread::sleep(UNANSWERED_TIME);
+            return ConnectionAction::Close;
+        }
+        Some(CallFault::Refused(status)) => {
+            return write_response(stream, &response_with_length(status, "", b""));
+        }
+        None => {}
+    }
     let bytes = match mode {
         StoreMode::Silent | StoreMode::OrderReads(0) => {
             std::thread::sleep(Duration::from_secs(30));
@@ -144,10 +207,19 @@
         StoreMode::Refusing(status) => response_with_length(status, "", b""),
         StoreMode::Serving | StoreMode::OrderReads(_) => store_response(state, request),
     };
-    match stream.write_all(&bytes) {
-        Ok(()) => ConnectionAction::KeepOpen,
-        Err(_) => ConnectionAction::Close,
+    write_response(stream, &bytes)
+}
+
+/// Returns what becomes of a call if it is not executed.
+fn call_fault(state: &Mutex<State>, request: &Request) -> Option<CallFault> {
+    let state = state.lock().unwrap();
+    if request.target.starts_with("/v1/log-append") {
+        return state.append_fault;
     }
+    let topic = request.query("topic").unwrap_or("");
+    state
+        .read_fault
+        .filter(|_| !PLATFORM_TOPICS.contains(&topic))
 }
 
 /// Whether an append is to be dropped, which happens once.
@@ -165,32 +237,48 @@
     is_dropped
 }
 
-/// Appends the record of a request if the topic ends where the request expects it.
-fn append_record(state: &Mutex<State>, topic: &str, request: &Request) -> Vec<u8> {
+/// Appends the records of a request, unless it names an end that the topic doesn't have.
+fn append_records(state: &Mutex<State>, name: &str, request: &Request) -> Vec<u8> {
     let mut state = state.lock().unwrap();
-    let topic = state.topics.entry(topic.to_owned()).or_default();
-    let end = topic.records.len();
-    let expected: usize = request.query("at").unwrap().parse().unwrap();
-    if expected != end {
-        let body = json!({"endOffset": end}).to_string();
+    let topic = state.topics.entry(name.to_owned()).or_default();
+    let base = topic.records.len();
+    let expected: Option<usize> = request.query("at").map(|at| at.parse().unwrap());
+    if expected.is_some_and(|expected| expected != base) {
+        let body = json!({"endOffset": base}).to_string();
         return response_with_length(412, "", body.as_bytes());
     }
-    let (length, record) = request.body.split_at(4);
-    assert_eq!(
-        usize::try_from(u32::from_be_bytes(length.try_into().unwrap())).unwrap(),
-        record.len()
-    );
-    let (key, value) = record[1..].split_at(usize::from(record[0]));
-    let key = String::from_utf8(key.to_vec()).unwrap();
-    topic.records.push((key, value.to_vec()));
-    let body = json!({"baseOffset": end, "endOffset": end + 1}).to_string();
+    topic.records.extend(decode_records(name, &request.body));
+    let end = topic.records.len();
+    if !PLATFORM_TOPICS.contains(&name) {
+        state.appended += end - base;
+    }
+    let body = json!({"offset": base, "endOffset": end}).to_string();
     response_with_length(200, "", body.as_bytes())
 }
 
+/// Splits the body of an append into records, each of which follows its length.
+fn decode_records(topic: &str, mut body: &[u8]) -> Vec<(String, Vec<u8>)> {
+    let mut records = Vec::new();
+    while !body.is_empty() {
+        let (length, rest) = body.split_at(4);
+        let length = u32::from_be_bytes(length.try_into().unwrap());
+        let (record, rest) = rest.split_at(usize::try_from(length).unwrap());
+        body = rest;
+        if !topic.starts_with(KEYED_PREFIX) {
+            records.push((String::new(), record.to_vec()));
+            continue;
+        }
+        let (key, value) = record[1..].split_at(usize::from(record[0]));
+        let key = String::from_utf8(key.to_vec()).unwrap();
+        records.push((key, value.to_vec()));
+    }
+    records
+}
+
 fn store_response(state: &Mutex<State>, request: &Request) -> Vec<u8> {
     let topic = request.query("topic").unwrap_or("");
     if request.target.starts_with("/v1/log-append") {
-        return append_record(state, topic, request);
+        return append_records(state, topic, request);
     }
     if request.target.starts_with("/v1/log-newest") {
         return response_with_length(200, "", latest_records(state, topic).to_string().as_bytes());
@@ -234,13 +322,14 @@
 
 fn read_records(
     state: &Mutex<State>,
-    topic: &str,
+    name: &str,
     from: usize,
     max_bytes: usize,
     timed_out: bool,
 ) -> Option<Vec<u8>> {
     let mut state = state.lock().unwrap();
-    let topic = state.topics.entry(topic.to_owned()).or_default();
+    let topic = state.topics.entry(name.to_owned()).or_default();
+    let is_keyed = name.starts_with(KEYED_PREFIX);
     let end = topic.records.len();
     if from < topic.first {
         let body = json!({"firstOffset": topic.first}).to_string();
@@ -253,14 +342,17 @@
     body.extend_from_slice(&u64::try_from(end).unwrap().to_be_bytes());
     body.extend_from_slice(&u64::try_from(topic.first).unwrap().to_be_bytes());
     for (key, value) in topic.records.get(from..).unwrap_or(&[]) {
-        let length = u32::try_from(1 + key.len() + value.len()).unwrap();
+        let key_bytes = if is_keyed { 1 + key.len() } else { 0 };
+        let length = u32::try_from(key_bytes + value.len()).unwrap();
         let is_first = body.len() == 16;
         if !is_first && body.len() + value.len() > max_bytes {
             break;
         }
         body.extend_from_slice(&length.to_be_bytes());
-        body.push(u8::try_from(key.len()).unwrap());
-        body.extend_from_slice(key.as_bytes());
+        if is_keyed {
+            body.push(u8::try_from(key.len()).unwrap());
+            body.extend_from_slice(key.as_bytes());
+        }
         body.extend_from_slice(value);
     }
     Some(response_with_length(200, "", &body))
--- a/crates/lentiltray/tests/it/gateway_harness.rs
+++ b/crates/lentiltray/tests/it/gateway_harness.rs
@@ -247,10 +247,7 @@
 
     /// Writes the entry of an endpoint of another version to the store.
     pub(crate) fn register_version(&self, replica: &Replica, service: &str, version: &str) {
-        let entry = json!({"service": service, "address": replica.address().to_string(),
-            "zone": "z", "version": version, "slots": 50, "state": "ready",
-            "coldRemainingMs": 0, "sequence": 1, "born": 7});
-        self.store.put("keyed.servers", &replica.name, Some(&entry));
+        register_version(&self.store, replica, service, version);
     }
 
     /// Writes an endpoint's entry to another store.
@@ -313,13 +310,28 @@
     }
 }
 
-fn readiness(gateway: &DaemonProcess) -> u16 {
+/// Writes the entry of an endpoint of this version to a store.
+pub(crate) fn register_version(store: &Store, replica: &Replica, service: &str, version: &str) {
+    let entry = json!({"service": service, "address": replica.address().to_string(),
+        "zone": "z", "version": version, "slots": 50, "state": "ready",
+        "coldRemainingMs": 0, "sequence": 1, "born": 7});
+    store.put("keyed.servers", &replica.name, Some(&entry));
+}
+
+/// Returns the status of a gateway's readiness page.
+pub(crate) fn readiness(gateway: &DaemonProcess) -> u16 {
     let mut connection = ClientConnection::open(gateway.address("readiness"));
     connection.send("GET /v1/readiness HTTP/1.1\nHost: x", "");
     connection.receive().unwrap().status
 }
 
-fn start_gateway(store: &Store, test: &str, bounds: &str, observer_port: u16) -> DaemonProcess {
+/// Starts a gateway that reads `store`, with these settings in the section `bounds`.
+pub(crate) fn start_gateway(
+    store: &Store,
+    test: &str,
+    bounds: &str,
+    observer_port: u16,
+) -> DaemonProcess {
     let settings = format!(
         "name: {test}\nzone: z\ngateway:\n  callers: 127.0.0.1:0\n  \
          readiness: 127.0.0.1:0\n  metrics: 127.0.0.1:0\n  store: {}\n  \
