Tell default versions from records of streams in the tests of take-ups

single_version counted the first stream's record, which is written before there is a default version, as the default. The fake store counts both apart, the tests wait until the default is written, and single_version asks for exactly one default and no further record. New: versions_from_start, two versions serve before a default version is written. foreign_attempt_apart begins its own stream anew for each foreign one; with one id the gateway chose the same engine again and again (no other in 20 s).

--- a/crates/lentiltray/tests/it/fake_store.rs
+++ b/crates/lentiltray/tests/it/fake_store.rs
@@ -63,8 +63,10 @@
     append_fault: Option<CallFault>,
     /// What becomes of reads of topics that are not in [`PLATFORM_TOPICS`].
     read_fault: Option<CallFault>,
-    /// Number of records that calls have appended to topics not in [`PLATFORM_TOPICS`].
-    appended: usize,
+    /// Number of records that calls have appended to topics of raw records.
+    appended_raw: usize,
+    /// The same of keyed records, without [`PLATFORM_TOPICS`].
+    appended_keyed: usize,
 }
 
 /// A running fake store.
@@ -147,10 +149,15 @@
         self.state.lock().unwrap().read_fault = fault;
     }
 
-    /// Number of records that were appended to the topics that the gateways keep for
-    /// themselves.
-    pub(crate) fn appended(&self) -> usize {
-        self.state.lock().unwrap().appended
+    /// Number of raw records that were appended: those of streams.
+    pub(crate) fn appended_streams(&self) -> usize {
+        self.state.lock().unwrap().appended_raw
+    }
+
+    /// Number of keyed records that were appended to the gateways' own topics: the default
+    /// versions of services.
+    pub(crate) fn appended_defaults(&self) -> usize {
+        self.state.lock().unwrap().appended_keyed
     }
 
     /// Deletes the history of all topics that the gateways keep for themselves.
@@ -249,8 +256,10 @@
     }
     topic.records.extend(decode_records(name, &request.body));
     let end = topic.records.len();
-    if !PLATFORM_TOPICS.contains(&name) {
-        state.appended += end - base;
+    if !name.starts_with(KEYED_PREFIX) {
+        state.appended_raw += end - base;
+    } else if !PLATFORM_TOPICS.contains(&name) {
+        state.appended_keyed += end - base;
     }
     let body = json!({"offset": base, "endOffset": end}).to_string();
     response_with_length(200, "", body.as_bytes())
--- a/crates/lentiltray/tests/it/taken_up_streams.rs
+++ b/crates/lentiltray/tests/it/taken_up_streams.rs
@@ -130,10 +130,13 @@
 #[test]
 fn single_version() {
     let mut fleet = Fleet::start("single_version", 2, &config(1));
+    std::thread::sleep(SETTLE_TIME);
+    let mut appended = vec![fleet.store.appended_streams()];
     let mut callers = fleet.begin_at(0, "v1", CROWD);
     for caller in &mut callers {
         caller.complete_at(fleet.address(1));
     }
+    appended.push(fleet.store.appended_streams());
     let mut callers = fleet.begin_at(0, "v1", CROWD);
     fleet.kill_all_gateways();
     fleet.add_gateway();
@@ -141,8 +144,38 @@
         caller.complete_at(fleet.address(0));
     }
     std::thread::sleep(SETTLE_TIME);
-    // The default version, once.
-    assert!(fleet.store.appended() <= 1, "{}", fleet.store.appended());
+    appended.push(fleet.store.appended_streams());
+    assert!(
+        appended.iter().all(|count| *count == appended[0]),
+        "{appended:?}"
+    );
+    assert_eq!(fleet.store.appended_defaults(), 1);
+}
+
+/// Streams that began before a default version was written went on at another version.
+#[test]
+fn versions_from_start() {
+    let mut fleet = Fleet::start_empty("from_start", &config(1));
+    for version in ["v1", "v2"] {
+        fleet.add_engine(version, EngineOptions::default());
+    }
+    fleet.add_gateway();
+    fleet.add_gateway();
+    let mut callers = Vec::new();
+    for gateway in [0, 1] {
+        for version in ["v1", "v2"] {
+            callers.extend(fleet.begin_at(gateway, version, 2));
+        }
+    }
+    for (number, caller) in callers.iter_mut().enumerate() {
+        caller.take_up(fleet.address(number % 2)).unwrap();
+        caller.read_until(caller.received() + READ_EVENTS);
+    }
+    fleet.kill_all_gateways();
+    fleet.add_gateway();
+    for caller in &mut callers {
+        caller.complete_at(fleet.address(0));
+    }
 }
 
 /// A stream went on at another version at a gateway that has served both all the while.
@@ -295,18 +328,17 @@
 fn foreign_attempt_apart() {
     let fleet = Fleet::start_overlap("foreign_apart", 2, &config_of_two());
     for (version, other) in [("v1", "v2"), ("v2", "v1")] {
-        let mut own = fleet.begin_one_at(0, version);
-        let attempt = own.first_attempt().to_owned();
+        let mut own = None;
         wait_until("a foreign stream begins at the other version", || {
+            let caller = own.insert(fleet.begin_one_at(0, version));
             let mut foreign = Caller::with_key("foreign", "k2");
             foreign
-                .send_as(fleet.address(0), &attempt, "")
-                .is_ok_and(|()| {
-                    foreign.read_until(READ_EVENTS);
-                    foreign.version() == other
-                })
+                .send_as(fleet.address(0), caller.first_attempt(), "")
+                .unwrap();
+            foreign.read_until(1);
+            foreign.version() == other
         });
-        own.complete_at(fleet.address(1));
+        own.unwrap().complete_at(fleet.address(1));
     }
 }
 
@@ -315,7 +347,7 @@
 fn write_record_later(test: &str, fault: CallFault) {
     let fleet = Fleet::start_overlap(test, 2, &config(1));
     std::thread::sleep(SETTLE_TIME);
-    let appended = fleet.store.appended();
+    let appended = fleet.store.appended_streams();
     fleet.store.set_append_fault(Some(fault));
     let mut callers = Vec::new();
     wait_until("a stream begins at v2", || {
@@ -333,7 +365,7 @@
     let mut caller = callers.pop().unwrap();
     fleet.store.set_append_fault(None);
     wait_until("the record is written", || {
-        fleet.store.appended() > appended
+        fleet.store.appended_streams() > appended
     });
     std::thread::sleep(SETTLE_TIME);
     caller.complete_at(fleet.address(1));
--- a/crates/lentiltray/tests/it/version_fleet.rs
+++ b/crates/lentiltray/tests/it/version_fleet.rs
@@ -109,30 +109,36 @@
 }
 
 impl Fleet {
-    /// Starts `gateways` gateways and two engines of version `v1`, and waits until a
-    /// stream has been served.
+    /// Starts `gateways` gateways and two engines of version `v1`, and waits until each
+    /// has served a stream and the default version is written.
     pub(crate) fn start(test: &str, gateways: usize, config: &Value) -> Self {
+        let mut fleet = Self::start_empty(test, config);
+        for _ in 0..2 {
+            fleet.add_engine("v1", EngineOptions::default());
+        }
+        for gateway in 0..gateways {
+            fleet.add_gateway();
+            let mut caller = Caller::new(&format!("first{gateway}"));
+            caller.begin(fleet.address(gateway));
+        }
+        wait_until("the default version is written", || {
+            fleet.store.appended_defaults() > 0
+        });
+        fleet
+    }
+
+    /// Starts a store with a configuration, without gateways and engines.
+    pub(crate) fn start_empty(test: &str, config: &Value) -> Self {
         let store = Store::start();
         store.put("keyed.op", "config", Some(config));
-        let mut fleet = Self {
+        Self {
             test: test.to_owned(),
             store,
             gateways: Vec::new(),
             started_gateways: 0,
             engines: Vec::new(),
             begun: AtomicUsize::new(0),
-        };
-        for _ in 0..2 {
-            fleet.add_engine("v1", EngineOptions::default());
-        }
-        for _ in 0..gateways {
-            fleet.add_gateway();
         }
-        for gateway in 0..gateways {
-            let mut caller = Caller::new(&format!("first{gateway}"));
-            caller.begin(fleet.address(gateway));
-        }
-        fleet
     }
 
     /// Like [`Self::start`], with two engines of version `v2` that have joined later.
