A stream that its caller took up went on at another version

Cause: no gateway read `Resumes`, and one that has just started knows nothing of the stream.

Change, as docs/design/stream-origin.md describes: the log holds a default version for each service, and a record of each resumable stream that begins at another version, written before its first event is passed on. A take-up reads what was appended since, and goes on at the version of its record, or of the default without one. The default versions are read through the relays of observers. A take-up chooses among the services of a split route as the first attempt did.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -5,7 +5,7 @@
 use lentil_core::{ByteCount, ConfigVersion, OrganisationId, ServiceName, Span};
 use thiserror::Error;
 
-use crate::{PriorityLevel, Route, Service};
+use crate::{PriorityLevel, Route, RouteKind, Service};
 
 /// An organisation and its API keys.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -232,6 +232,18 @@
         routes.map(|route| route.timeout).max()
     }
 
+    /// The longest time limit of the routes to a service whose streams may be resumed.
+    #[must_use]
+    pub fn longest_resumable_timeout(&self, service: &ServiceName) -> Option<Span> {
+        let leads_to = |route: &&Route| {
+            let mut services = route.weighted_services.iter();
+            let is_resumable = route.kind == RouteKind::Streaming && route.resumable;
+            is_resumable && services.any(|weighted| weighted.service == *service)
+        };
+        let routes = self.routes.values().flatten().filter(leads_to);
+        routes.map(|route| route.timeout).max()
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.services.values()
--- a/crates/feed/src/record.rs
+++ b/crates/feed/src/record.rs
@@ -10,6 +10,8 @@
     Operators,
     /// The endpoints' entries.
     Endpoints,
+    /// The default version of each service's software.
+    DefaultVersions,
 }
 
 impl LogTopic {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,6 +13,7 @@
     AttemptLimit, AttemptResult, LimitChange, LimitNotice, PlacedRequest, RestNotice, VersionNeed,
 };
 use lentil_handoff::{BodyFraming, EndedBody, StopOrder};
+use lentil_origin::StreamKey;
 use lentil_rollout::Version;
 
 use crate::announcements;
@@ -138,6 +139,11 @@
         }
     }
 
+    /// The key under which the version of the stream is recorded.
+    pub(crate) fn stream_key(&self) -> StreamKey {
+        StreamKey::of(self.fingerprint, self.request.first_attempt().as_str())
+    }
+
     /// Returns the prompt tokens and expected output tokens of a generation.
     pub(crate) fn token_estimate(&self) -> Option<(TokenCount, TokenCount)> {
         if !is_stream(&self.route) {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -13,11 +13,13 @@
     BootClock, BoundedReceiver, BoundedSender, ThreadError, WorkerThread, bounded_channel, spawn_io,
 };
 use thiserror::Error;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use crate::endpoints::EndpointClient;
 use crate::follow;
 use crate::gateway::Gateway;
+use crate::origin_log::{DefaultsReader, ReadDefaults};
 use crate::poison::CrashReports;
 use crate::relayed_log::RelayDirectory;
 use crate::rollout_exchange::OrderEvidence;
@@ -66,6 +68,8 @@
     RolloutEvidence(Vec<OrderEvidence>),
     /// The engines to follow and to place generations at.
     Followed(FollowedEngines),
+    /// The default versions of all services.
+    DefaultVersions(ReadDefaults),
     /// The store failed to respond to a request that was sent at this time.
     StoreFailed { asked_at: Time },
 }
@@ -76,6 +80,8 @@
     pub operator_changes: Box<dyn StoreFeed>,
     /// The feed of endpoint entries.
     pub endpoint_changes: Box<dyn StoreFeed>,
+    /// The reader of default versions.
+    pub default_versions: Box<dyn DefaultsReader>,
     /// The client that queries engines whose observer can't be reached.
     pub engine_client: Rc<dyn EndpointClient>,
     /// Tells the feeds which relays there are.
@@ -95,6 +101,8 @@
     pub zone: ZoneId,
     /// Number of engines that the gateway places generations at.
     pub followed_engines_max: usize,
+    /// Wakes the thread to read the default versions.
+    pub defaults_wanted: Arc<Notify>,
 }
 
 /// A handle to the running control thread.
@@ -211,6 +219,11 @@
         outbox.clone(),
         services_sender,
     );
+    let default_versions = read_default_versions(
+        sources.default_versions,
+        Arc::clone(&options.defaults_wanted),
+        outbox.clone(),
+    );
     let followers = Followers {
         options,
         outbox: outbox.clone(),
@@ -225,7 +238,27 @@
         services,
         followers,
     );
-    tokio::join!(operator_changes, endpoint_changes);
+    tokio::join!(operator_changes, endpoint_changes, default_versions);
+}
+
+/// Reads the default versions whenever they are wanted, until the update queue closes. After a
+/// failure they are wanted again.
+async fn read_default_versions(
+    reader: Box<dyn DefaultsReader>,
+    wanted: Arc<Notify>,
+    outbox: BoundedSender<Update>,
+) {
+    loop {
+        wanted.notified().await;
+        match reader.read().await {
+            Ok(read) => {
+                if outbox.send(Update::DefaultVersions(read)).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => log::info!("the default versions were not read: {error}"),
+        }
+    }
 }
 
 async fn follow_operator_changes(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,6 +29,8 @@
 use crate::endpoints::EndpointClient;
 use crate::link_lock::LinkLock;
 use crate::metrics::GatewayMetrics;
+use crate::origin_log::OriginLog;
+use crate::origins::{self, StreamOrigins};
 use crate::poison::{self, PoisonTracker};
 use crate::read_ahead::ReadAhead;
 use crate::readiness::Readiness;
@@ -103,6 +105,8 @@
     pub endpoint_client: Rc<dyn EndpointClient>,
     /// The log with the status of roll-outs.
     pub status_log: Rc<dyn StatusLog>,
+    /// The log with the versions that began streams.
+    pub origin_log: Rc<dyn OriginLog>,
     /// The gateway's metrics.
     pub metrics: GatewayMetrics,
 }
@@ -138,6 +142,7 @@
     pub(crate) poison: PoisonTracker,
     pub(crate) rollouts: Rc<Rollouts>,
     pub(crate) status_log: Rc<dyn StatusLog>,
+    pub(crate) origins: StreamOrigins,
     readiness: Cell<Readiness>,
     /// Engines whose observers all gateways follow.
     common_engines: RefCell<Vec<EndpointId>>,
@@ -240,6 +245,7 @@
         Rc::new(Self {
             rollouts: Rc::new(Rollouts::new(options.name.clone(), options.bounds.rollouts)),
             status_log: options.status_log,
+            origins: StreamOrigins::new(options.origin_log),
             name: options.name,
             observer_port: options.observer_port,
             bounds: options.bounds,
@@ -271,6 +277,12 @@
         &self.name
     }
 
+    /// Wakes the thread that reads the default versions.
+    #[must_use]
+    pub fn defaults_wanted(&self) -> Arc<Notify> {
+        self.origins.defaults_wanted()
+    }
+
     /// Returns the address of the observer next to an engine.
     pub(crate) fn observer_address(&self, engine: SocketAddr) -> SocketAddr {
         SocketAddr::new(engine.ip(), self.observer_port)
@@ -347,6 +359,7 @@
     /// Applies time-based changes and dispatches waiting requests, until dropped.
     pub async fn run_timers(self: Rc<Self>) {
         tokio::task::spawn_local(rollout_exchange::run(Rc::clone(&self)));
+        tokio::task::spawn_local(origins::run_appends(Rc::clone(&self)));
         loop {
             let woken = tokio::time::timeout(self.dispatch_delay(), self.wake.notify.notified());
             let is_timer = woken.await.is_err();
@@ -356,6 +369,7 @@
             let changes = self.fleet.borrow_mut().tick(self.now());
             self.log_changed_limits();
             self.handle_fleet_changes(changes);
+            self.update_defaults();
             self.update_displaced(self.now());
             self.dispatch_waiting();
         }
@@ -459,6 +473,7 @@
                     }
                 }
                 self.refresh_rollouts();
+                self.observe_versions();
                 self.handle_fleet_changes(changes);
                 self.update_readiness(|readiness| readiness.endpoints_known = true);
             }
@@ -492,6 +507,10 @@
                 added.retain(|observer| !known.contains(observer));
                 poison::notify_observers(&self.poison.reports(), added);
             }
+            Update::DefaultVersions(read) => {
+                self.origins.record_defaults(&read);
+                return;
+            }
             Update::StoreFailed { asked_at } => {
                 self.fleet.borrow_mut().record_store_failure(asked_at);
             }
@@ -513,6 +532,7 @@
         }
         if let Some(catalog) = self.catalog() {
             let changes = self.fleet.borrow_mut().set_catalog(self.now(), catalog);
+            self.observe_versions();
             self.handle_fleet_changes(changes);
         }
         let number = i64::try_from(version.get()).unwrap_or(i64::MAX);
--- a/crates/gateway/src/log_relay.rs
+++ b/crates/gateway/src/log_relay.rs
@@ -15,9 +15,9 @@
 
 /// How long the log is polled after the last request of a gateway.
 const IDLE_TIMEOUT: Span = Span::from_ms(3_000);
-/// Long-poll wait for reads of the operators' topic. It bounds the age at which a
-/// confirmation reaches gateways.
-const OPERATORS_WAIT: Duration = Duration::from_millis(900);
+/// Long-poll wait for reads of the topics where records are rare. It bounds the age at which
+/// a confirmation reaches gateways.
+const RARE_RECORDS_WAIT: Duration = Duration::from_millis(900);
 /// Pause between two reads of the endpoints' topic, where records are frequent.
 const ENDPOINTS_PAUSE: Duration = Duration::from_millis(400);
 /// Delay before the first retry after the log failed.
@@ -70,6 +70,7 @@
     clock: BootClock,
     operators: Arc<TopicCopy>,
     endpoints: Arc<TopicCopy>,
+    default_versions: Arc<TopicCopy>,
 }
 
 impl LogRelay {
@@ -78,6 +79,7 @@
             clock,
             operators: TopicCopy::new(LogTopic::Operators),
             endpoints: TopicCopy::new(LogTopic::Endpoints),
+            default_versions: TopicCopy::new(LogTopic::DefaultVersions),
         }
     }
 
@@ -86,6 +88,7 @@
         tokio::join!(
             self.read_topic(&self.operators, &*log),
             self.read_topic(&self.endpoints, &*log),
+            self.read_topic(&self.default_versions, &*log),
         );
     }
 
@@ -99,8 +102,12 @@
             }
             let from = copy.state().cache.next();
             let wait = match copy.topic {
-                LogTopic::Operators if from.is_some() && !failing => OPERATORS_WAIT,
-                LogTopic::Operators | LogTopic::Endpoints => Duration::ZERO,
+                LogTopic::Operators | LogTopic::DefaultVersions if from.is_some() && !failing => {
+                    RARE_RECORDS_WAIT
+                }
+                LogTopic::Operators | LogTopic::DefaultVersions | LogTopic::Endpoints => {
+                    Duration::ZERO
+                }
             };
             let asked_at = self.clock.now();
             let read = log.read(copy.topic, from, wait).await;
@@ -147,6 +154,7 @@
         let copy = match v1::LogTopic::try_from(request.topic) {
             Ok(v1::LogTopic::Operators) => &self.operators,
             Ok(v1::LogTopic::Endpoints) => &self.endpoints,
+            Ok(v1::LogTopic::DefaultVersions) => &self.default_versions,
             Ok(v1::LogTopic::Unspecified) | Err(_) => {
                 return Err(Status::invalid_argument("unknown topic"));
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -118,6 +118,8 @@
     pub(crate) catalog_version: Gauge,
     pub(crate) first_event_s: Histogram,
     pub(crate) pause_s: Histogram,
+    stream_records: Family<RequestLabels, Counter>,
+    take_ups: Family<RequestLabels, Counter>,
     rollouts: RolloutMetrics,
 }
 
@@ -205,6 +207,18 @@
             "Longest pause of each stream",
             pause_s.clone(),
         );
+        let stream_records = Family::default();
+        let take_ups = Family::default();
+        registry.register(
+            "stream_records",
+            "Records of the versions of streams, by what became of their write",
+            stream_records.clone(),
+        );
+        registry.register(
+            "take_ups",
+            "Streams that callers take up, by whether the version that began them is known",
+            take_ups.clone(),
+        );
         let rollouts = RolloutMetrics::default();
         rollouts.register(&mut registry);
         Self {
@@ -225,6 +239,8 @@
             catalog_version,
             first_event_s,
             pause_s,
+            stream_records,
+            take_ups,
         }
     }
 }
@@ -236,6 +252,18 @@
             .inc();
     }
 
+    pub(crate) fn count_stream_record(&self, outcome: &'static str) {
+        self.stream_records
+            .get_or_create(&RequestLabels { outcome })
+            .inc();
+    }
+
+    pub(crate) fn count_take_up(&self, outcome: &'static str) {
+        self.take_ups
+            .get_or_create(&RequestLabels { outcome })
+            .inc();
+    }
+
     pub(crate) fn count_backup(&self, step: &'static str) {
         self.backups.get_or_create(&MoveLabels { step }).inc();
     }
--- /dev/null
+++ b/crates/gateway/src/origins.rs
@@ -0,0 +1,413 @@
+//! Keeping streams at the version that began them, over the tries of their callers.
+//!
+//! The decisions are those of [`lentil_origin`]. This module supplies its observations, reads and
+//! writes the log for it, and applies what it knows to requests that take a stream up.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use lentil_core::{NotRunProof, Offset, Refusal, RefusalReason, Span, Time};
+use lentil_origin::{Lookup, Origins, StreamRecord, VersionCounts};
+use lentil_rollout::Version;
+use tokio::sync::{Mutex, Notify, oneshot};
+
+use crate::attempt::Job;
+use crate::gateway::{Gateway, RETRY_AFTER_STORE_FAILURE};
+use crate::origin_log::{OriginLog, ReadDefaults};
+use crate::status_log::WriteOutcome;
+use crate::store_feed::StoreError;
+
+/// Shortest interval between two appends of a gateway, and its growth with each gateway. All
+/// gateways together append at most 200 times a second.
+const APPEND_INTERVAL_MIN: Span = Span::from_ms(10);
+const APPEND_INTERVAL_PER_GATEWAY: Span = Span::from_ms(5);
+/// Longest interval between two appends, which delays the first events of streams.
+const APPEND_INTERVAL_MAX: Span = Span::from_ms(250);
+/// Longest time for which the first event of a stream waits for its record.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(600);
+/// Delay before an append that failed is repeated.
+const APPEND_RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Maximum number of records that wait to be appended; beyond it the oldest are dropped.
+const PENDING_MAX: usize = 4_096;
+/// Maximum number of records in one append.
+const APPEND_MAX: usize = 1_024;
+/// Longest time for which a request that takes a stream up waits for the log.
+const READ_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after such a wait for which others do not wait, if they can go on without the log.
+const UNREADABLE_TIME: Span = Span::from_ms(1_000);
+/// Delay before a read of the log that failed is repeated.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Interval at which it is checked whether default versions have to be read or written.
+const UPDATE_INTERVAL: Span = Span::from_ms(200);
+/// Shortest interval between two requests for the default versions.
+const DEFAULTS_INTERVAL: Span = Span::from_ms(300);
+/// Longest delay before a due default version is written, so that mostly one gateway does.
+const WRITE_JITTER_MAX: Span = Span::from_ms(500);
+/// Delay before a default version that was not written is written again.
+const REWRITE_DELAY: Span = Span::from_ms(2_000);
+/// A stream may be taken up for this multiple of the longest timeout of its service's resumable
+/// routes: its own time and that of the caller's repeats.
+const TAKE_UP_TIMEOUTS: u64 = 2;
+
+/// A record that waits to be appended, and who waits for it.
+#[derive(Debug)]
+struct PendingRecord {
+    record: StreamRecord,
+    appended: Option<oneshot::Sender<()>>,
+}
+
+/// The streams of a gateway and the versions that began them.
+pub(crate) struct StreamOrigins {
+    log: Rc<dyn OriginLog>,
+    origins: RefCell<Origins>,
+    pending: RefCell<VecDeque<PendingRecord>>,
+    appends_due: Notify,
+    /// Whether the last append failed.
+    failing: Cell<bool>,
+    /// The offset from which records are read next. Locked while they are read.
+    next_read: Mutex<Option<Offset>>,
+    /// Wakes the thread that reads the default versions.
+    defaults_wanted: Arc<Notify>,
+    defaults_wanted_at: Cell<Time>,
+    /// The end of the log of default versions when they were read.
+    defaults_end: Cell<Option<Offset>>,
+    defaults_read_at: Cell<Option<Time>>,
+    /// Until when the log counts as unreadable.
+    unreadable_until: Cell<Time>,
+    write_due: Cell<Option<Time>>,
+    is_writing: Cell<bool>,
+    next_update: Cell<Time>,
+}
+
+impl StreamOrigins {
+    pub(crate) fn new(log: Rc<dyn OriginLog>) -> Self {
+        Self {
+            log,
+            origins: RefCell::default(),
+            pending: RefCell::default(),
+            appends_due: Notify::new(),
+            failing: Cell::default(),
+            next_read: Mutex::default(),
+            defaults_wanted: Arc::default(),
+            defaults_wanted_at: Cell::default(),
+            defaults_end: Cell::default(),
+            defaults_read_at: Cell::default(),
+            unreadable_until: Cell::default(),
+            write_due: Cell::default(),
+            is_writing: Cell::default(),
+            next_update: Cell::default(),
+        }
+    }
+
+    pub(crate) fn defaults_wanted(&self) -> Arc<Notify> {
+        Arc::clone(&self.defaults_wanted)
+    }
+
+    /// Whether the log could not be read a short time ago.
+    fn is_unreadable(&self, now: Time) -> bool {
+        !self.unreadable_until.get().has_passed(now)
+    }
+
+    /// Asks for the default versions, unless it has just done so.
+    fn want_defaults(&self, now: Time) {
+        if (self.defaults_wanted_at.get() + DEFAULTS_INTERVAL).has_passed(now) {
+            self.defaults_wanted_at.set(now);
+            self.defaults_wanted.notify_one();
+        }
+    }
+
+    /// Takes over the default versions that were read from the log.
+    pub(crate) fn record_defaults(&self, read: &ReadDefaults) {
+        let mut origins = self.origins.borrow_mut();
+        origins.record_defaults(read.asked_at, &read.defaults);
+        self.defaults_end.set(Some(read.end));
+        self.defaults_read_at
+            .set(self.defaults_read_at.get().max(Some(read.asked_at)));
+    }
+
+    /// Queues a record, and returns what tells that it was appended.
+    fn enqueue(&self, record: StreamRecord) -> oneshot::Receiver<()> {
+        let (sender, appended) = oneshot::channel();
+        let mut pending = self.pending.borrow_mut();
+        if pending.len() >= PENDING_MAX {
+            log::warn!("a stream's record is dropped, as too many wait to be appended");
+            pending.pop_front();
+        }
+        pending.push_back(PendingRecord {
+            record,
+            appended: Some(sender),
+        });
+        self.appends_due.notify_one();
+        appended
+    }
+
+    /// Appends the records that wait. Those of a failed append wait again.
+    async fn append_pending(&self) -> bool {
+        let batch: Vec<_> = {
+            let mut pending = self.pending.borrow_mut();
+            let count = pending.len().min(APPEND_MAX);
+            pending.drain(..count).collect()
+        };
+        let records: Vec<_> = batch.iter().map(|it| it.record.clone()).collect();
+        match self.log.append_records(&records).await {
+            Ok(()) => {
+                if self.failing.replace(false) {
+                    log::info!("the versions of streams are recorded again");
+                }
+                let waiting = batch.into_iter().filter_map(|it| it.appended);
+                for appended in waiting {
+                    // A stream that has waited for too long goes on without.
+                    let _ = appended.send(());
+                }
+                true
+            }
+            Err(error) => {
+                if !self.failing.replace(true) {
+                    log::warn!(records = records.len(); "the versions of streams are not recorded: {error}");
+                }
+                let mut pending = self.pending.borrow_mut();
+                for record in batch.into_iter().rev() {
+                    pending.push_front(record);
+                }
+                false
+            }
+        }
+    }
+}
+
+impl std::fmt::Debug for StreamOrigins {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("StreamOrigins(..)")
+    }
+}
+
+/// Appends the records of streams until dropped.
+pub(crate) async fn run_appends(gateway: Rc<Gateway>) {
+    let origins = &gateway.origins;
+    loop {
+        if origins.pending.borrow().is_empty() {
+            origins.appends_due.notified().await;
+        }
+        let gateways = gateway.fleet.borrow().entry_count(gateway.now());
+        let interval = APPEND_INTERVAL_PER_GATEWAY.times(u64::from(gateways));
+        let interval = interval.clamp(APPEND_INTERVAL_MIN, APPEND_INTERVAL_MAX);
+        tokio::time::sleep(interval.into()).await;
+        if !origins.append_pending().await {
+            gateway.metrics.count_stream_record("failed");
+            tokio::time::sleep(APPEND_RETRY_DELAY).await;
+        }
+    }
+}
+
+impl Gateway {
+    /// Takes over the versions of the known endpoints of all services with resumable streams.
+    pub(crate) fn observe_versions(&self) {
+        let Some(catalog) = self.catalog() else {
+            return;
+        };
+        let now = self.now();
+        let states = self.fleet.borrow().version_states(now);
+        let mut origins = self.origins.origins.borrow_mut();
+        for (service, versions) in states {
+            let Some(timeout) = catalog.longest_resumable_timeout(&service) else {
+                continue;
+            };
+            let counts = versions
+                .into_iter()
+                .map(|(version, state)| (version, state.known));
+            let counts: VersionCounts = counts.filter(|(_, known)| *known > 0).collect();
+            origins.observe(now, &service, counts, timeout.times(TAKE_UP_TIMEOUTS));
+        }
+    }
+
+    /// Reads and writes default versions as far as it is due.
+    pub(crate) fn update_defaults(self: &Rc<Self>) {
+        let now = self.now();
+        if !self.origins.next_update.get().has_passed(now) {
+            return;
+        }
+        self.origins.next_update.set(now + UPDATE_INTERVAL);
+        let (wants_defaults, change) = {
+            let origins = self.origins.origins.borrow();
+            (origins.wants_defaults(now), origins.due_change(now))
+        };
+        if wants_defaults {
+            self.origins.want_defaults(now);
+        }
+        if change.is_none() {
+            self.origins.write_due.set(None);
+            return;
+        }
+        let due = self.origins.write_due.get().unwrap_or_else(|| {
+            let jitter_us = rand::random_range(0..=WRITE_JITTER_MAX.as_us());
+            now + Span::from_us(jitter_us)
+        });
+        self.origins.write_due.set(Some(due));
+        if due.has_passed(now) && !self.origins.is_writing.replace(true) {
+            tokio::task::spawn_local(write_default(Rc::clone(self)));
+        }
+    }
+
+    /// Records the version of a stream whose first event is about to be passed on, if another
+    /// gateway could not tell it.
+    pub(crate) async fn record_origin(&self, job: &Job, version: Option<Version>) {
+        if !job.route.is_retryable() {
+            return;
+        }
+        let now = self.now();
+        let is_needed = {
+            let origins = self.origins.origins.borrow();
+            origins.needs_record(now, &job.service, version.as_ref())
+        };
+        let record = StreamRecord {
+            key: job.stream_key(),
+            version,
+        };
+        if !is_needed {
+            return;
+        }
+        self.origins
+            .origins
+            .borrow_mut()
+            .insert(now, record.clone());
+        let is_failing = self.origins.failing.get();
+        let appended = self.origins.enqueue(record);
+        // An event that is ready does not wait for a log that has just failed.
+        if is_failing {
+            self.metrics.count_stream_record("late");
+            return;
+        }
+        match tokio::time::timeout(RECORD_TIMEOUT, appended).await {
+            Ok(Ok(())) => self.metrics.count_stream_record("appended"),
+            Ok(Err(_)) | Err(_) => self.metrics.count_stream_record("late"),
+        }
+    }
+
+    /// Returns the version at which the stream began that a request takes up.
+    pub(crate) async fn find_origin(&self, job: &Job) -> Result<Option<Version>, Refusal> {
+        let (result, found) = match self.look_up_origin(job).await {
+            Lookup::Began(version) => ("known", Ok(version)),
+            Lookup::Unknown => ("unknown", Err(job.refuse(RefusalReason::VersionGone, None))),
+            Lookup::Unread { .. } => {
+                let refusal =
+                    Refusal::not_run(NotRunProof::NeverSent, RefusalReason::LogUnavailable);
+                (
+                    "unread",
+                    Err(refusal.retry_after(RETRY_AFTER_STORE_FAILURE)),
+                )
+            }
+        };
+        self.metrics.count_take_up(result);
+        let version = found.as_ref().ok().and_then(Option::as_ref);
+        let version = version.map_or("", Version::as_str);
+        let begun_by = job.request.resumes.as_ref().map_or("", |id| id.as_str());
+        log::info!(request:% = job.request.id, begun_by = begun_by, result = result, version = version; "stream taken up");
+        found
+    }
+
+    /// Looks the stream up, reading the log as far as it is needed. If the log can't be read, only
+    /// the versions that this gateway has listed can tell.
+    async fn look_up_origin(&self, job: &Job) -> Lookup {
+        let service = &job.service;
+        let without_log = || {
+            let origins = self.origins.origins.borrow();
+            let version = origins.look_up_without_log(self.now(), service)?;
+            Some(Lookup::Began(version))
+        };
+        if self.origins.is_unreadable(self.now())
+            && let Some(began) = without_log()
+        {
+            return began;
+        }
+        let found = tokio::time::timeout(READ_TIMEOUT, self.read_origin(job)).await;
+        found.unwrap_or_else(|_| {
+            self.origins
+                .unreadable_until
+                .set(self.now() + UNREADABLE_TIME);
+            without_log().unwrap_or(Lookup::Unread {
+                default: true,
+                records: true,
+            })
+        })
+    }
+
+    /// Looks the stream up until the log was read as far as it is needed.
+    async fn read_origin(&self, job: &Job) -> Lookup {
+        loop {
+            let lookup = {
+                let now = self.now();
+                let origins = self.origins.origins.borrow();
+                if job.request.resumes.is_some() {
+                    origins.look_up(now, &job.service, &job.stream_key(), job.arrived)
+                } else {
+                    origins.look_up_unnamed(now, &job.service, job.arrived)
+                }
+            };
+            let Lookup::Unread { default, records } = lookup else {
+                return lookup;
+            };
+            let read = self.origins.read_log(self, job.arrived, default, records);
+            if let Err(error) = read.await {
+                log::info!(request:% = job.request.id; "the versions of streams were not read: {error}");
+                tokio::time::sleep(READ_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+impl StreamOrigins {
+    /// Reads the default versions and the records of streams from the log, unless another request
+    /// has done so since `wanted_at`.
+    async fn read_log(
+        &self,
+        gateway: &Gateway,
+        wanted_at: Time,
+        default: bool,
+        records: bool,
+    ) -> Result<(), StoreError> {
+        let mut next = self.next_read.lock().await;
+        if default && self.defaults_read_at.get() < Some(wanted_at) {
+            let read = self.log.read_defaults().await?;
+            self.record_defaults(&read);
+        }
+        let is_read = |origins: &RefCell<Origins>| origins.borrow().has_read_records(wanted_at);
+        while records && !is_read(&self.origins) {
+            let asked_at = gateway.now();
+            let read = self.log.read_records(*next).await?;
+            *next = Some(read.next);
+            let asked_at = read.is_complete.then_some(asked_at);
+            let mut origins = self.origins.borrow_mut();
+            origins.record_read(gateway.now(), read.records, asked_at);
+        }
+        Ok(())
+    }
+}
+
+/// Writes the default version that is due.
+async fn write_default(gateway: Rc<Gateway>) {
+    let origins = &gateway.origins;
+    let change = origins.origins.borrow().due_change(gateway.now());
+    let mut next_write = None;
+    if let (Some(change), Some(end)) = (change, origins.defaults_end.take()) {
+        let version = change.version.as_ref().map_or("", Version::as_str);
+        match origins.log.write_default_if(&change, end).await {
+            Ok(WriteOutcome::Written) => {
+                log::info!(service:% = change.service, version = version; "the default version was written");
+            }
+            Ok(WriteOutcome::Conflict) => {
+                log::info!(service:% = change.service, version = version; "the default version was not written, as the log has grown");
+            }
+            Err(error) => {
+                next_write = Some(gateway.now() + REWRITE_DELAY);
+                log::info!(service:% = change.service, version = version; "it is unknown whether the default version was written: {error}");
+            }
+        }
+    }
+    // Whatever came of it, the log tells.
+    origins.want_defaults(gateway.now());
+    origins.write_due.set(next_write);
+    origins.is_writing.set(false);
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -133,6 +133,10 @@
         last_event_id: Some(after),
         kv_copy: None,
     });
+    if resume.is_some() && job.route.is_retryable() {
+        let version = gateway.find_origin(&job).await?;
+        job.require_version(version);
+    }
     let opened = gateway
         .open_response(&job, resume, TokenCount::ZERO)
         .await?;
@@ -172,6 +176,9 @@
         }
     };
     let (status, headers) = relay.head.clone();
+    gateway
+        .record_origin(&job, relay.permit.place.version.clone())
+        .await;
     let took = gateway.now().since(job.arrived);
     gateway.metrics.first_event_s.observe(seconds(took));
     job.note(format!("first event at {} ms", took.as_ms()));
--- a/crates/gateway/src/relayed_log.rs
+++ b/crates/gateway/src/relayed_log.rs
@@ -213,6 +213,7 @@
     match topic {
         LogTopic::Operators => v1::LogTopic::Operators,
         LogTopic::Endpoints => v1::LogTopic::Endpoints,
+        LogTopic::DefaultVersions => v1::LogTopic::DefaultVersions,
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -92,9 +92,18 @@
     pub generation: Option<Generation>,
     /// The last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// The attempt that brought the first event of that stream, if the caller names it.
+    pub resumes: Option<RequestId>,
 }
 
 impl InboundRequest {
+    /// The attempt that brought the first event of the requested stream: an earlier one, or this
+    /// one if it begins the stream.
+    #[must_use]
+    pub fn first_attempt(&self) -> &RequestId {
+        self.resumes.as_ref().unwrap_or(&self.id)
+    }
+
     /// Returns the path without the query.
     #[must_use]
     pub fn path(&self) -> &str {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -50,7 +50,7 @@
             None
         };
         let service = route
-            .choose_service(inbound.id.stable_hash())
+            .choose_service(inbound.first_attempt().stable_hash())
             .ok_or_else(|| not_sent(RefusalReason::NotFound))?;
         let timeout = inbound.timeout.map_or(route.timeout, |requested| {
             Span::from_us(requested.as_us().min(route.timeout.as_us()))
--- a/crates/lentiltray/src/command/gateway.rs
+++ b/crates/lentiltray/src/command/gateway.rs
@@ -4,12 +4,13 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bpaf::Parser;
 use eyre::Context;
 use lentil_adapter::{
-    CallerHandler, EndpointFeed, HttpEndpointClient, MetricsHandler, OperatorFeed,
+    CallerHandler, DefaultVersions, EndpointFeed, HttpEndpointClient, MetricsHandler, OperatorFeed,
     ReadinessHandler, StoreClient, has_memory_pressure,
 };
 use lentil_core::Span;
@@ -22,7 +23,7 @@
 use lentil_settings::{Node, NodeRole};
 use lentil_shell::{BodyBudget, BootClock, Eviction, SignalAction, StopSignals, spawn_io};
 use tokio::net::TcpListener;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 
 use super::{load_node, settings_file};
 
@@ -135,6 +136,7 @@
     node: &Node,
     settings: &lentil_settings::Gateway,
     clock: BootClock,
+    defaults_wanted: Arc<Notify>,
 ) -> eyre::Result<ControlThread> {
     let options = ControlOptions {
         name: node.name.clone(),
@@ -142,6 +144,7 @@
         observer_port: settings.observer_port,
         zone: node.zone.clone(),
         followed_engines_max: usize::try_from(settings.followed_engines_max)?,
+        defaults_wanted,
     };
     let address = settings.store;
     let sharing = (settings.direct_readers_max, bounds(settings).config_trust());
@@ -156,6 +159,7 @@
         ControlSources {
             operator_changes: Box::new(OperatorFeed::new(log(), clock)),
             endpoint_changes: Box::new(EndpointFeed::new(log(), clock)),
+            default_versions: Box::new(DefaultVersions::new(log())),
             engine_client: Rc::new(HttpEndpointClient::new(pool, clock)),
             relays,
         }
@@ -199,6 +203,11 @@
 ) -> eyre::Result<()> {
     let clock = BootClock::start();
     let counters = GatewayMetrics::default();
+    let store = Rc::new(StoreClient::new(
+        ConnectionPool::default(),
+        settings.store,
+        clock,
+    ));
     let gateway = Gateway::new(GatewayOptions {
         name: node.name.clone(),
         observer_port: settings.observer_port,
@@ -206,14 +215,11 @@
         bounds: bounds(&settings),
         clock,
         endpoint_client: Rc::new(HttpEndpointClient::new(ConnectionPool::default(), clock)),
-        status_log: Rc::new(StoreClient::new(
-            ConnectionPool::default(),
-            settings.store,
-            clock,
-        )),
+        status_log: Rc::clone(&store) as Rc<_>,
+        origin_log: store,
         metrics: counters.clone(),
     });
-    let control = start_control(&node, &settings, clock)?;
+    let control = start_control(&node, &settings, clock, gateway.defaults_wanted())?;
     tokio::task::spawn_local(control.apply_updates(Rc::clone(&gateway)));
     tokio::task::spawn_local(Rc::clone(&gateway).run_timers());
     let (stage, callers_stage) = watch::channel(ShutdownStage::Serving);
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -12,6 +12,9 @@
 /// Interval at which the default is read while other versions are known.
 const DEFAULT_READ_INTERVAL: Span = Span::from_ms(1_000);
 
+/// How long records are kept that were read while no service was known.
+const UNKNOWN_TAKE_UP_TIME: Span = Span::from_s(600);
+
 /// What is known about the version at which a stream began.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Lookup {
@@ -120,7 +123,8 @@
     /// Keeps the version of a stream that this gateway has begun or taken up.
     pub fn insert(&mut self, now: Time, record: StreamRecord) {
         let times = self.services.values().map(ServiceVersions::take_up_time);
-        let take_up_time = times.max().unwrap_or(Span::ZERO);
+        // Records may be read before the first service is known.
+        let take_up_time = times.max().unwrap_or(UNKNOWN_TAKE_UP_TIME);
         self.records.expire(now);
         self.records.insert(record, now + take_up_time);
     }
