Take streams up beside observers, and after appends whose answers were lost

New: beside_observers, gateways read default versions and lists through relays, are all lost, and a version leaves; append_answers_lost, appends are executed without an answer. Streams of one test are taken up at once and not one after the other.

--- a/crates/lentiltray/tests/it/fake_store.rs
+++ b/crates/lentiltray/tests/it/fake_store.rs
@@ -23,13 +23,15 @@
     OrderReads(usize),
 }
 
-/// What the store does with calls that it does not execute.
+/// What becomes of calls that fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum CallFault {
     /// It rejects them with this status.
     Refused(u16),
     /// It closes their connections without a response after some time.
     Unanswered,
+    /// It executes them, and closes their connections without a response.
+    AnswerLost,
 }
 
 /// Topics that others than the gateways write to, or that hold the status of roll-outs.
@@ -197,7 +199,10 @@
         return ConnectionAction::Close;
     }
     match call_fault(state, request) {
-        Some(CallFault::Unanswered) => {
+        Some(fault @ (CallFault::Unanswered | CallFault::AnswerLost)) => {
+            if fault == CallFault::AnswerLost {
+                store_response(state, request);
+            }
             std::thread::sleep(UNANSWERED_TIME);
             return ConnectionAction::Close;
         }
@@ -217,7 +222,7 @@
     write_response(stream, &bytes)
 }
 
-/// Returns what becomes of a call if it is not executed.
+/// Returns what becomes of a call if it fails.
 fn call_fault(state: &Mutex<State>, request: &Request) -> Option<CallFault> {
     let state = state.lock().unwrap();
     if request.target.starts_with("/v1/log-append") {
--- a/crates/lentiltray/tests/it/taken_up_streams.rs
+++ b/crates/lentiltray/tests/it/taken_up_streams.rs
@@ -52,9 +52,7 @@
     callers.extend(fleet.begin_at(1, version, 2));
     fleet.kill_all_gateways();
     fleet.add_gateway();
-    for caller in &mut callers {
-        caller.complete_at(fleet.address(0));
-    }
+    fleet.complete_all(&[0], callers);
 }
 
 /// Streams of the newer version went on at the older one after all gateways were lost.
@@ -79,13 +77,24 @@
     fleet.kill_all_gateways();
     fleet.add_gateway();
     fleet.add_gateway();
-    let takers = callers.into_iter().enumerate().map(|(number, mut caller)| {
-        let gateway = fleet.address(number % fleet.gateways());
-        std::thread::spawn(move || caller.complete_at(gateway))
-    });
-    for taker in takers.collect::<Vec<_>>() {
-        taker.join().unwrap();
+    fleet.complete_all(&[0, 1], callers);
+}
+
+/// The same where gateways read default versions and lists of engines through observers.
+#[test]
+fn beside_observers() {
+    let mut fleet = Fleet::start_observed("beside_observers", 2, &config(1));
+    for _ in 0..2 {
+        fleet.add_engine("v2", EngineOptions::default());
     }
+    let mut callers = fleet.begin_at(0, "v1", 3);
+    callers.extend(fleet.begin_at(1, "v2", 3));
+    let mut gone = fleet.begin_one_at(0, "v1");
+    fleet.kill_all_gateways();
+    fleet.add_gateway();
+    fleet.complete_all(&[0], callers);
+    fleet.remove_version("v1");
+    assert_version_gone(gone.take_up(fleet.address(0)));
 }
 
 /// Checks that streams of a version that has left are refused by gateways that start then.
@@ -132,17 +141,13 @@
     let mut fleet = Fleet::start("single_version", 2, &config(1));
     std::thread::sleep(SETTLE_TIME);
     let mut appended = vec![fleet.store.appended_streams()];
-    let mut callers = fleet.begin_at(0, "v1", CROWD);
-    for caller in &mut callers {
-        caller.complete_at(fleet.address(1));
-    }
+    let callers = fleet.begin_at(0, "v1", CROWD);
+    fleet.complete_all(&[1], callers);
     appended.push(fleet.store.appended_streams());
-    let mut callers = fleet.begin_at(0, "v1", CROWD);
+    let callers = fleet.begin_at(0, "v1", CROWD);
     fleet.kill_all_gateways();
     fleet.add_gateway();
-    for caller in &mut callers {
-        caller.complete_at(fleet.address(0));
-    }
+    fleet.complete_all(&[0], callers);
     std::thread::sleep(SETTLE_TIME);
     appended.push(fleet.store.appended_streams());
     assert!(
@@ -173,9 +178,7 @@
     }
     fleet.kill_all_gateways();
     fleet.add_gateway();
-    for caller in &mut callers {
-        caller.complete_at(fleet.address(0));
-    }
+    fleet.complete_all(&[0], callers);
 }
 
 /// A stream went on at another version at a gateway that has served both all the while.
@@ -183,9 +186,8 @@
 fn other_gateway() {
     let fleet = Fleet::start_overlap("other_gateway", 2, &config(1));
     for version in ["v1", "v2"] {
-        for mut caller in fleet.begin_at(0, version, 3) {
-            caller.complete_at(fleet.address(1));
-        }
+        let callers = fleet.begin_at(0, version, 3);
+        fleet.complete_all(&[1], callers);
     }
 }
 
@@ -196,9 +198,7 @@
     let mut callers = fleet.begin_at(0, "v1", 2);
     callers.extend(fleet.begin_at(0, "v2", 2));
     fleet.kill_gateway(0);
-    for caller in &mut callers {
-        caller.complete_at(fleet.address(0));
-    }
+    fleet.complete_all(&[0], callers);
 }
 
 /// A stream went on at another version when its engine had broken it off.
@@ -233,9 +233,7 @@
     }
     fleet.kill_all_gateways();
     fleet.add_gateway();
-    for caller in &mut callers {
-        caller.complete_at(fleet.address(0));
-    }
+    fleet.complete_all(&[0], callers);
 }
 
 /// Values of `Resumes` that name no attempt; `None` stands for a missing header.
@@ -384,6 +382,12 @@
     write_record_later("appends_unanswered", CallFault::Unanswered);
 }
 
+/// The same where appends are executed and their answers are lost.
+#[test]
+fn append_answers_lost() {
+    write_record_later("append_answers_lost", CallFault::AnswerLost);
+}
+
 /// A stream went on at a guessed version, or was given up, as its record couldn't be read.
 fn read_record_later(test: &str, fault: CallFault) {
     let fleet = Fleet::start_overlap(test, 2, &config(1));
@@ -417,19 +421,14 @@
     let mut callers = fleet.begin_at(0, "v2", 2);
     callers[0].complete_at(fleet.address(1));
     fleet.store.expire_records();
-    let mut later = fleet.begin_at(0, "v2", 2);
-    for caller in &mut later {
-        caller.complete_at(fleet.address(1));
-    }
+    let later = fleet.begin_at(0, "v2", 2);
+    fleet.complete_all(&[1], later);
 }
 
 /// Takes up streams of each version at the other gateway.
 fn take_up_each(fleet: &Fleet, versions: &[&str]) {
-    for version in versions {
-        for mut caller in fleet.begin_at(0, version, 2) {
-            caller.complete_at(fleet.address(1));
-        }
-    }
+    let begin = |version: &&str| fleet.begin_at(0, version, 2);
+    fleet.complete_all(&[1], versions.iter().flat_map(begin).collect());
 }
 
 /// Streams went on at another version around a change of the default version.
@@ -458,9 +457,7 @@
     callers.extend(fleet.begin_at(1, "v3", 2));
     fleet.kill_all_gateways();
     fleet.add_gateway();
-    for caller in &mut callers {
-        caller.complete_at(fleet.address(0));
-    }
+    fleet.complete_all(&[0], callers);
 }
 
 /// Streams went on at another version when a version that had left came back.
--- a/crates/lentiltray/tests/it/version_fleet.rs
+++ b/crates/lentiltray/tests/it/version_fleet.rs
@@ -1,7 +1,8 @@
 //! Gateways and engines of several software versions, and callers that take streams up.
 
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -12,8 +13,8 @@
 };
 use crate::fake_store::Store;
 use crate::gateway_harness::{
-    Replica, readiness, register_version, signature_headers, start_gateway, wait_until,
-    write_response,
+    Replica, free_port, readiness, register_version, signature_headers, start_gateway,
+    start_observer, wait_until, write_response,
 };
 
 /// Time between two events of a stream.
@@ -36,11 +37,16 @@
     pub(crate) breaks_before: Option<u64>,
 }
 
+/// The address of an engine that has an observer.
+fn engine_host(engine: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 53, u8::try_from(engine + 1).unwrap())
+}
+
 /// Starts an engine whose events state its version.
-fn start_engine(name: &str, version: &str, options: EngineOptions) -> Replica {
+fn start_engine(host: Ipv4Addr, name: &str, version: &str, options: EngineOptions) -> Replica {
     let version = version.to_owned();
     let running = AtomicUsize::new(0);
-    Replica::start(name, move |request, stream| {
+    Replica::start_at(host, name, move |request, stream| {
         if request.target == "/v1/report" {
             return write_response(stream, &report(running.load(Ordering::SeqCst)));
         }
@@ -104,6 +110,10 @@
     gateways: Vec<DaemonProcess>,
     started_gateways: usize,
     engines: Vec<Engine>,
+    /// The port of the engines' observers, which read the store for gateways. Without it, there
+    /// are none.
+    observer_port: Option<u16>,
+    observers: Vec<DaemonProcess>,
     /// Number of streams that were begun through [`Self::begin_at`].
     begun: AtomicUsize,
 }
@@ -112,7 +122,18 @@
     /// Starts `gateways` gateways and two engines of version `v1`, and waits until each
     /// has served a stream and the default version is written.
     pub(crate) fn start(test: &str, gateways: usize, config: &Value) -> Self {
+        Self::start_empty(test, config).with_first_version(gateways)
+    }
+
+    /// Like [`Self::start`], with an observer beside each engine.
+    pub(crate) fn start_observed(test: &str, gateways: usize, config: &Value) -> Self {
         let mut fleet = Self::start_empty(test, config);
+        fleet.observer_port = Some(free_port(engine_host(0)));
+        fleet.with_first_version(gateways)
+    }
+
+    fn with_first_version(mut self, gateways: usize) -> Self {
+        let fleet = &mut self;
         for _ in 0..2 {
             fleet.add_engine("v1", EngineOptions::default());
         }
@@ -124,7 +145,7 @@
         wait_until("the default version is written", || {
             fleet.store.appended_defaults() > 0
         });
-        fleet
+        self
     }
 
     /// Starts a store with a configuration, without gateways and engines.
@@ -137,6 +158,8 @@
             gateways: Vec::new(),
             started_gateways: 0,
             engines: Vec::new(),
+            observer_port: None,
+            observers: Vec::new(),
             begun: AtomicUsize::new(0),
         }
     }
@@ -153,7 +176,14 @@
     /// Starts an engine and waits until all gateways know it.
     pub(crate) fn add_engine(&mut self, version: &str, options: EngineOptions) {
         let name = format!("i-{}", self.engines.len() + 1);
-        let replica = start_engine(&name, version, options);
+        let host = self
+            .observer_port
+            .map_or(Ipv4Addr::LOCALHOST, |_| engine_host(self.engines.len()));
+        let replica = start_engine(host, &name, version, options);
+        if let Some(port) = self.observer_port {
+            let observer = start_observer(&self.test, &replica, port, Some(&self.store));
+            self.observers.push(observer);
+        }
         register_version(&self.store, &replica, "writers", version);
         self.engines.push(Engine {
             replica,
@@ -193,7 +223,7 @@
     pub(crate) fn add_gateway(&mut self) {
         self.started_gateways += 1;
         let name = format!("{}-{}", self.test, self.started_gateways);
-        let gateway = start_gateway(&self.store, &name, "", 1);
+        let gateway = start_gateway(&self.store, &name, "", self.observer_port.unwrap_or(1));
         wait_until("the gateway is ready", || readiness(&gateway) == 200);
         for _ in self.engines.iter().filter(|engine| engine.is_listed) {
             gateway.wait_for_line("endpoint joined");
@@ -215,6 +245,18 @@
         self.gateways.clear();
     }
 
+    /// Takes streams up at these gateways in turn, all at once, and checks the whole of each.
+    pub(crate) fn complete_all(&self, gateways: &[usize], callers: Vec<Caller>) {
+        let takers = callers.into_iter().enumerate().map(|(number, mut caller)| {
+            let gateway = self.address(gateways[number % gateways.len()]);
+            std::thread::spawn(move || caller.complete_at(gateway))
+        });
+        let takers: Vec<_> = takers.collect();
+        let results: Vec<_> = takers.into_iter().map(JoinHandle::join).collect();
+        let failed = results.iter().filter(|result| result.is_err()).count();
+        assert_eq!(failed, 0, "of {} streams", results.len());
+    }
+
     pub(crate) fn gateways(&self) -> usize {
         self.gateways.len()
     }
