Doubt an engine that answers a stopped run with 404

What callers saw: a part of a stream without length or chunks as the whole, when its engine stopped the run for its move and answered that order with 404.

Cause: 404 settled the order, and the end of the body counted as that of the run.

Change: after 404 the end of such a stream counts only if an event arrived after the answer, which shows that the run went on. Otherwise the order is unsettled, as one whose answer was lost.

Price: a complete stream without length or chunks that ends while the order is on its way is broken off, or goes on as another run where its route allows that. An order that is sent after the end of the body has no effect, as before.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -236,7 +236,7 @@
             }
             Err(CopyError::RunNotFound) => {
                 self.plan.record_migrated(run.key);
-                drop(continuation.send(Continuation::Ended));
+                drop(continuation.send(Continuation::Ended { answered_at: now }));
                 self.release_copy(permit, copy);
             }
             Err(error) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -453,8 +453,13 @@
                 Continuation::AtSource { kv_copy } => {
                     return self.continue_stopped(None, kv_copy).await;
                 }
-                Continuation::Ended | Continuation::NotStopped => {}
-                Continuation::Unsettled => end.stop_order = StopOrder::Unsettled,
+                // An engine that stops a run may wrongly say that it had none. Events that
+                // arrive after its answer show that the run went on.
+                Continuation::Ended { answered_at } if self.last_forwarded_at > answered_at => {}
+                Continuation::NotStopped => {}
+                Continuation::Ended { .. } | Continuation::Unsettled => {
+                    end.stop_order = StopOrder::Unsettled;
+                }
             }
         }
         if cut == Cut::None && end.needs_answer() {
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -35,8 +35,11 @@
         /// The retained KV cache.
         kv_copy: KvCopy,
     },
-    /// It had already ended.
-    Ended,
+    /// Its engine says that it had already ended.
+    Ended {
+        /// When the engine's answer arrived.
+        answered_at: Time,
+    },
     /// The engine did not carry out the order.
     NotStopped,
     /// It is unknown whether the engine stopped it.
@@ -48,7 +51,7 @@
         f.write_str(match self {
             Self::FromCopy { .. } => "copied",
             Self::AtSource { .. } => "kept at its engine",
-            Self::Ended => "no such run",
+            Self::Ended { .. } => "no such run",
             Self::NotStopped => "not carried out",
             Self::Unsettled => "unknown",
         })
@@ -68,7 +71,7 @@
     pub(crate) async fn outcome(self) -> Continuation {
         let outcome = self.outcome.await.unwrap_or(Continuation::Unsettled);
         match outcome {
-            Continuation::Ended | Continuation::NotStopped if self.follows_unsettled => {
+            Continuation::Ended { .. } | Continuation::NotStopped if self.follows_unsettled => {
                 Continuation::Unsettled
             }
             outcome => outcome,
