--- a/crates/lentiltray/tests/it/killed_engines.rs
+++ b/crates/lentiltray/tests/it/killed_engines.rs
@@ -9,6 +9,7 @@
 
 use serde_json::json;
 
+use crate::daemon_process::DaemonProcess;
 use crate::fake_http::{
     ClientConnection, ConnectionAction, Framing, ReceivedResponse, Request, response_with_length,
 };
@@ -32,8 +33,10 @@
     report_age: Duration,
     /// Number of events in its streams.
     events: usize,
-    /// Whether it is gone.
+    /// Whether its process has ended.
     killed: AtomicBool,
+    /// Whether another process has taken its place at its address.
+    restarted: AtomicBool,
     running: AtomicUsize,
 }
 
@@ -49,13 +52,14 @@
             report_age,
             events,
             killed: AtomicBool::new(false),
+            restarted: AtomicBool::new(false),
             running: AtomicUsize::new(0),
         });
         let handler = Arc::clone(&engine);
         let handle = move |request: &Request, stream: &mut TcpStream| match request.target.as_str()
         {
             "/v1/crash" => ConnectionAction::Crash,
-            _ if handler.killed.load(Ordering::SeqCst) => ConnectionAction::Close,
+            _ if handler.is_down() => ConnectionAction::Close,
             "/v1/report" => write_response(stream, &handler.report()),
             // Copies are never made, so that no order stops a run.
             "/v1/kv-move" => write_response(stream, &response_with_length(503, "", b"{}")),
@@ -78,10 +82,25 @@
         connection.write_all(head).unwrap();
     }
 
+    /// Is killed, and another process answers at its address at once.
+    fn restart(&self) {
+        self.restarted.store(true, Ordering::SeqCst);
+        self.killed.store(true, Ordering::SeqCst);
+    }
+
+    fn is_down(&self) -> bool {
+        self.killed.load(Ordering::SeqCst) && !self.restarted.load(Ordering::SeqCst)
+    }
+
     fn report(&self) -> Vec<u8> {
+        let started = if self.restarted.load(Ordering::SeqCst) {
+            8
+        } else {
+            7
+        };
         let mut report = json!({"stage": "combined", "models": [], "busy": false, "sequence": 1,
             "waiting": 0, "running": 1, "kvUsed": 400, "kvTotal": 34000, "handles": 0,
-            "state": "ready", "born": 7});
+            "state": "ready", "born": started});
         if let Some(at) = *self.leaves_at.lock().unwrap() {
             let left = at.saturating_duration_since(Instant::now()) + self.report_age;
             report["state"] = json!("draining");
@@ -127,7 +146,7 @@
     site: Site,
     engine: Arc<Engine>,
     replica: Replica,
-    _observer: crate::daemon_process::DaemonProcess,
+    observer: DaemonProcess,
     caller: std::thread::JoinHandle<ReceivedResponse>,
 }
 
@@ -152,7 +171,7 @@
             site,
             engine,
             replica,
-            _observer: observer,
+            observer,
             caller,
         }
     }
@@ -235,8 +254,27 @@
     assert_broken_off(&fixture.end());
 }
 
-/// Guards against whole streams that are broken off because their engine leaves or an observer
-/// reports it: one that still answers has not been killed.
+/// The same where the gateway gets no reports, as the observer is gone too.
+#[test]
+fn killed_with_observer() {
+    let mut fixture = Fixture::start("with_observer", 14, Duration::ZERO, EVENTS);
+    fixture.observer.kill();
+    std::thread::sleep(EVENT_GAP * 10);
+    fixture.kill();
+    assert_broken_off(&fixture.end());
+}
+
+/// The same where another process answers at the address at once.
+#[test]
+fn restarted_at_address() {
+    let fixture = Fixture::start("restarted_address", 15, Duration::ZERO, EVENTS);
+    std::thread::sleep(EVENT_GAP * 10);
+    fixture.engine.restart();
+    assert_broken_off(&fixture.end());
+}
+
+/// Guards against whole streams that are broken off because their engine leaves: one that still
+/// answers has not been killed.
 #[test]
 fn whole_at_leaving_engine() {
     let fixture = Fixture::start("whole_leaving", 13, Duration::ZERO, 30);
