Ask only engines whether they still answer

Cause: endpoints of plain services have no report. A request for it would wait for a slot there, or reach an endpoint that wants no requests.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -725,7 +725,7 @@
         }
     }
 
-    /// Returns whether the endpoint of a stream that has ended still answers, in the lifetime in
+    /// Returns whether the engine of a stream that has ended still answers, in the lifetime in
     /// which it began the stream. A process that is killed closes its connections as one does
     /// whose stream is complete, but answers nothing more.
     pub(crate) async fn answers_after_end(&self, permit: &Permit) -> bool {
@@ -734,7 +734,7 @@
             let now = self.now();
             match self.endpoint_client.inspect(place.address, now).await {
                 Ok(report) => return self.fleet.borrow().shows_alive(now, place, &report),
-                // Endpoints without reports answer in some other way.
+                // An answer that is no report comes from a process that has not ended either.
                 Err(InspectError::NoReport(_)) => {
                     return !self.fleet.borrow().may_have_ended(now, place);
                 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -607,6 +607,13 @@
             .collect()
     }
 
+    /// Returns whether the endpoints of this service are engines, which report their state.
+    pub(crate) fn has_engines(&self, service: &ServiceName) -> bool {
+        self.catalog()
+            .and_then(|catalog| catalog.service(service)?.engine)
+            .is_some()
+    }
+
     /// Returns whether engines of this service can transfer runs to each other.
     pub(crate) fn supports_moves(&self, service: &ServiceName) -> bool {
         self.catalog()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -462,7 +462,9 @@
                 }
             }
         }
-        if cut == Cut::None && end.needs_answer() {
+        // Other endpoints have no report, and another request would wait for a slot there.
+        let is_engine = self.gateway.has_engines(&self.job.service);
+        if cut == Cut::None && is_engine && end.needs_answer() {
             end.answers_after = Some(self.gateway.answers_after_end(&self.permit).await);
         }
         match cut {
