Wait 2 s after a restore of the store before records count as read

After a restore every gateway appends its own records of the last seconds again, but another one may read the records before that: in traces of the model a stream was taken up 0.1 to 0.2 s after both had learned of the restore. Reads of records now count from 2 s after a gateway has learned of it; until then take-ups that are not known are refused with a short Retry-After.

Test: restored_records is new.

--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -9,6 +9,10 @@
 use crate::service::{ServiceVersions, VersionCounts};
 use crate::stream_key::StreamKey;
 
+/// Time after which all gateways have noticed a restore of the store and have appended their own
+/// records again: they read the default every second, and a call takes up to half a second.
+const RESTORE_TIME: Span = Span::from_ms(2_000);
+
 /// Interval at which the default is read while other versions are known.
 const DEFAULT_READ_INTERVAL: Span = Span::from_ms(1_000);
 
@@ -49,6 +53,8 @@
     records_read_at: Option<Time>,
     /// Reads from before this time do not count.
     forgotten_at: Time,
+    /// Reads of records from before this time may miss records that were lost in a restore.
+    restored_until: Time,
 }
 
 impl Origins {
@@ -99,15 +105,16 @@
         for record in records {
             self.insert(now, record);
         }
-        let asked_at = asked_at.filter(|at| *at >= self.forgotten_at);
+        let asked_at = asked_at.filter(|at| *at >= self.restored_until);
         self.records_read_at = self.records_read_at.max(asked_at);
     }
 
     /// Forgets up to when the log was read, after the store has come back from an older copy. What
     /// was appended since that copy is lost: the caller appends its own records of the last seconds
-    /// again.
+    /// again. For 2 s no read of records counts, so that others have done so too.
     pub fn forget_reads(&mut self, now: Time) {
         self.forgotten_at = now;
+        self.restored_until = now + RESTORE_TIME;
         self.records_read_at = None;
         for versions in self.services.values_mut() {
             versions.forget_read();
--- a/crates/origin/tests/it/look_ups.rs
+++ b/crates/origin/tests/it/look_ups.rs
@@ -146,3 +146,23 @@
     assert!(origins.wants_defaults(ms(11_000)));
     assert!(needs_record(&origins, ms(13_100), "v1"));
 }
+
+/// Guards against a look-up after a restore of the store, before other gateways have appended their
+/// records again.
+#[test]
+fn restored_records() {
+    let mut origins = started();
+    read_records(&mut origins, ms(100), vec![]);
+    origins.forget_reads(ms(100));
+    read_default(&mut origins, ms(1_000), Some("v1"));
+    read_records(&mut origins, ms(1_000), vec![]);
+    let unread = Lookup::Unread {
+        default: false,
+        records: true,
+    };
+    assert_eq!(look_up(&origins, ms(1_000), "a1"), unread);
+    read_default(&mut origins, ms(2_100), Some("v1"));
+    read_records(&mut origins, ms(2_100), vec![record("a1", "v2")]);
+    assert_eq!(look_up(&origins, ms(2_100), "a1"), began("v2"));
+    assert_eq!(look_up(&origins, ms(2_100), "a2"), began("v1"));
+}
