--- a/crates/origin/tests/it/model.rs
+++ b/crates/origin/tests/it/model.rs
@@ -13,7 +13,8 @@
 
 use crate::fixtures::{key, service, version};
 
-const SEEDS: u64 = 40;
+/// Runs of the test without `LENTIL_MODEL_SEEDS`, about two seconds.
+const SEEDS: u64 = 300;
 const WORKERS: u64 = 4;
 const STEP: Span = Span::from_ms(50);
 const CALL_TIMEOUT: Span = Span::from_ms(500);
@@ -76,14 +77,15 @@
 }
 
 enum Answer {
-    Default { at: MaybeVersionRecord, end: usize },
+    Default {
+        at: Option<MaybeVersion>,
+        end: usize,
+    },
     Records(Vec<StreamRecord>, usize),
     Changed,
     Appended(BTreeSet<StreamKey>),
 }
 
-type MaybeVersionRecord = Option<MaybeVersion>;
-
 enum Event {
     Arrive(Id, u64, Call, Time),
     Answered(Id, u64, Answer, Time, u64),
@@ -94,6 +96,9 @@
     defaults: Vec<(Time, MaybeVersion)>,
     records: Vec<(Time, StreamRecord)>,
     away_until: Time,
+    /// Entries that lapsed while it was away are back by this time.
+    lapsed_until: Time,
+    is_lapsed: bool,
     restored: bool,
     /// Number of restores, named in each answer.
     era: u64,
@@ -347,7 +352,10 @@
             .iter()
             .copied()
             .find(|target| self.engines.iter().filter(|it| listed(it, *target)).count() < 3);
-        let mut has_changed = false;
+        let is_lapsed = self.store.away_until.has_passed(self.now)
+            && !self.store.lapsed_until.has_passed(self.now);
+        let mut has_changed = is_lapsed != self.store.is_lapsed;
+        self.store.is_lapsed = is_lapsed;
         if self.happens(400) || self.engines.is_empty() {
             if let Some(target) = missing {
                 let version = named_version(target);
@@ -374,11 +382,8 @@
             }
         }
         if has_changed {
-            let listed = self
-                .engines
-                .iter()
-                .enumerate()
-                .filter(|(_, it)| it.is_listed);
+            let engines = self.engines.iter().enumerate();
+            let listed = engines.filter(|(id, it)| it.is_listed && (!is_lapsed || id % 3 == 0));
             let list: Vec<_> = listed.map(|(id, it)| (id, it.version.clone())).collect();
             self.note(|| format!("endpoints {}", show(&list)));
             self.lists.push((self.now, list));
@@ -407,6 +412,9 @@
         if self.setup.away && self.happens(25_000) {
             let span = self.ms(300, 8_000);
             self.store.away_until = self.now + span;
+            if self.rng.random_bool(0.5) {
+                self.store.lapsed_until = self.store.away_until + self.ms(500, 2_000);
+            }
             self.note(|| format!("store away for {span}"));
         }
         if self.setup.restore && self.happens(30_000) {
