--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -9,6 +9,17 @@
 //! streams that begin at another version than the service's default one, which the log holds too;
 //! while one version serves, nothing is written.
 //!
+//! Callers keep these rules, without which streams may be joined:
+//!
+//! - The list of endpoints is passed in every second while it is current, and not otherwise.
+//! - A change of the default is appended under the condition that the log ends where the default was
+//!   read; afterwards the default is read again, whatever the answer.
+//! - A stream whose record has been sent goes on at that version only, also before its first event
+//!   has reached the caller, as the first record of a stream holds.
+//! - A record counts as written when the answer to its own append says so. Appends that were not
+//!   answered are repeated.
+//! - After a restore of the store, reads are forgotten and own records appended again.
+//!
 //! This crate has no clock and no I/O; callers pass in the current time.
 
 mod origins;
