Guard the backup of streams whose engines are killed

A stream without length or chunks whose engine is killed without notice goes on at its backup engine and arrives whole.

--- a/crates/lentiltray/tests/it/backup_streams.rs
+++ b/crates/lentiltray/tests/it/backup_streams.rs
@@ -8,7 +8,9 @@
 use serde_json::{Value, json};
 
 use crate::daemon_process::DaemonProcess;
-use crate::fake_http::{ConnectionAction, ReceivedResponse, Request, chunk, response_with_length};
+use crate::fake_http::{
+    ConnectionAction, Framing, ReceivedResponse, Request, chunk, response_with_length,
+};
 use crate::fake_store::Store;
 use crate::gateway_harness::{
     Replica, Site, config, request_head, signature_headers, wait_until, write_response,
@@ -34,6 +36,9 @@
     BrokenBefore(u64),
     /// The engine writes nothing more from this event on and keeps the connection open.
     SilentFrom(u64),
+    /// The engine is killed between two events before this one, in a stream without length or
+    /// chunks: the connection is closed in order, and nothing more is accepted.
+    KilledBefore(u64),
     /// There is no copy, and nothing is run.
     NoCopy,
 }
@@ -109,24 +114,26 @@
     let first = request
         .header("last-event-id")
         .map_or(0, |last| last.parse::<u64>().unwrap() + 1);
-    let head = format!(
-        "HTTP/1.1 200 OK\r\n{}Transfer-Encoding: chunked\r\n\r\n",
-        signature_headers(request)
-    );
-    write_response(stream, head.as_bytes());
+    let framing = match end {
+        End::KilledBefore(_) => Framing::Neither,
+        _ => Framing::Chunks,
+    };
+    let head = framing.head(200, &signature_headers(request), 0);
+    write_response(stream, &head);
     for number in first..EVENTS {
         match end {
             End::BrokenBefore(event) if event == number => {
                 write_response(stream, &chunk(&format!("id: {number}\nda")));
                 return ConnectionAction::Close;
             }
+            End::KilledBefore(event) if event == number => return ConnectionAction::Crash,
             End::SilentFrom(event) if event == number => {
                 std::thread::sleep(Duration::from_secs(3));
                 return ConnectionAction::Close;
             }
             _ => {}
         }
-        let event = chunk(&format!("id: {number}\ndata: {number}\n\n"));
+        let event = framing.part(&format!("id: {number}\ndata: {number}\n\n"));
         if write_response(stream, &event) == ConnectionAction::Close {
             return ConnectionAction::Close;
         }
@@ -274,6 +281,30 @@
     assert_eq!(requests.len(), 2);
 }
 
+/// Guards against a part of a stream that ends as complete because its engine was killed and
+/// closed its connections in order: the stream goes on.
+#[test]
+fn continued_after_kill() {
+    let fixture = Fixture::start("backup_kill", End::KilledBefore(DIES_AFTER), End::Complete);
+    let (response, _) = fixture.run();
+    assert_eq!(response.body, events(0..EVENTS));
+    assert!(response.complete);
+}
+
+/// The same where the backup engine is killed too.
+#[test]
+fn backup_killed_too() {
+    let fixture = Fixture::start(
+        "backup_killed",
+        End::KilledBefore(DIES_AFTER),
+        End::KilledBefore(DIES_AFTER + 20),
+    );
+    let (response, requests) = fixture.run();
+    assert_eq!(response.body, events(0..DIES_AFTER + 20));
+    assert!(!response.complete);
+    assert_eq!(requests.len(), 2);
+}
+
 /// Guards against a request that crashes one engine after another.
 #[test]
 fn backup_dies_too() {
