Play versions, lost gateways and take-ups at random

A seeded play of versions that come, leave and come back, of gateways that are killed, one or all, and of callers that take streams up again and again. No stream may hold events of two versions, and a stream whose version is listed has to go on. 12 s with the seed of LENTIL_SEED; LENTIL_PLAY_S sets another duration.

--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -61,6 +61,7 @@
 mod startup_code;
 mod stop_signals;
 mod stopped_streams;
+mod taken_up_play;
 mod taken_up_streams;
 mod tls_connections;
 mod trace_propagation;
--- /dev/null
+++ b/crates/lentiltray/tests/it/taken_up_play.rs
@@ -0,0 +1,187 @@
+//! A seeded play of versions that come and leave, gateways that are killed, and callers
+//! that take streams up.
+
+use std::time::{Duration, Instant};
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use rand::seq::IndexedRandom as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::gateway_harness::config;
+use crate::version_fleet::{Caller, EVENTS, EngineOptions, Fleet, READ_EVENTS};
+
+/// Duration of the play if `LENTIL_PLAY_S` is not set.
+const PLAY_S: u64 = 12;
+/// Seed if `LENTIL_SEED` is not set.
+const SEED: u64 = 20_261_204;
+/// Number of gateways.
+const GATEWAYS: usize = 3;
+/// Largest number of streams at once.
+const CALLERS: usize = 12;
+/// Largest number of events that a caller reads in one step.
+const STEP_EVENTS: usize = 8;
+
+fn number_from(variable: &str, default: u64) -> u64 {
+    std::env::var(variable)
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+/// The state of a play.
+struct Play {
+    fleet: Fleet,
+    rng: ChaCha8Rng,
+    callers: Vec<Caller>,
+    begun: usize,
+    taken_up: usize,
+    refused: usize,
+    /// Number of the newest version.
+    newest: usize,
+}
+
+impl Play {
+    fn address(&mut self) -> std::net::SocketAddr {
+        let gateway = self.rng.random_range(0..self.fleet.gateways());
+        self.fleet.address(gateway)
+    }
+
+    /// Does one random thing.
+    fn step(&mut self) {
+        match self.rng.random_range(0..40) {
+            0 => self.lose_gateways(1),
+            1 => self.lose_gateways(GATEWAYS),
+            2 => self.change_versions(),
+            3..=15 => self.begin(),
+            16..=27 => self.take_up(),
+            _ => self.read(),
+        }
+    }
+
+    fn lose_gateways(&mut self, count: usize) {
+        for _ in 0..count {
+            self.fleet.kill_gateway(0);
+        }
+        for _ in 0..count {
+            self.fleet.add_gateway();
+        }
+    }
+
+    /// Starts a version if there is one, and ends one if there are several.
+    fn change_versions(&mut self) {
+        let versions = self.fleet.listed_versions();
+        if let [_] = versions[..] {
+            // A version that has left may come back.
+            let version = self.rng.random_range(1..=self.newest + 1);
+            self.newest = self.newest.max(version);
+            for _ in 0..2 {
+                let breaks_before = self.rng.random_bool(0.3).then_some(EVENTS / 2);
+                let options = EngineOptions {
+                    begin_delay: Duration::from_millis(self.rng.random_range(0..60)),
+                    breaks_before,
+                };
+                self.fleet.add_engine(&format!("v{version}"), options);
+            }
+            return;
+        }
+        let gone = versions.choose(&mut self.rng).unwrap().clone();
+        self.fleet.remove_version(&gone);
+    }
+
+    fn begin(&mut self) {
+        if self.callers.len() == CALLERS {
+            return;
+        }
+        self.begun += 1;
+        let mut caller = Caller::new(&format!("play{}", self.begun));
+        let gateway = self.address();
+        if caller.repeat(gateway, "").is_ok() {
+            caller.read_until(READ_EVENTS);
+        }
+        if caller.received() > 0 {
+            self.callers.push(caller);
+        }
+    }
+
+    fn read(&mut self) {
+        let Some(caller) = self.take_caller() else {
+            return;
+        };
+        self.go_on(caller);
+    }
+
+    /// Takes a stream up. It must go on if its version is listed.
+    fn take_up(&mut self) {
+        let Some(mut caller) = self.take_caller() else {
+            return;
+        };
+        let gateway = self.address();
+        let is_listed = self
+            .fleet
+            .listed_versions()
+            .iter()
+            .any(|version| version == caller.version());
+        match caller.take_up(gateway) {
+            Ok(()) => {
+                self.taken_up += 1;
+                self.go_on(caller);
+            }
+            Err(refusal) => {
+                self.refused += 1;
+                assert_eq!(refusal.status, 503, "{refusal:?}");
+                assert!(!is_listed, "{} of {refusal:?}", caller.version());
+            }
+        }
+    }
+
+    fn take_caller(&mut self) -> Option<Caller> {
+        if self.callers.is_empty() {
+            return None;
+        }
+        let chosen = self.rng.random_range(0..self.callers.len());
+        Some(self.callers.swap_remove(chosen))
+    }
+
+    /// Reads some events; a stream that broke off is kept to be taken up later.
+    fn go_on(&mut self, mut caller: Caller) {
+        if caller.is_connected() {
+            let events = self.rng.random_range(1..=STEP_EVENTS);
+            caller.read_until(caller.received() + events);
+        }
+        caller.check();
+        if caller.is_complete {
+            caller.check_whole();
+        } else {
+            self.callers.push(caller);
+        }
+    }
+}
+
+/// Streams held events of two versions after some sequence of such events.
+#[test]
+fn random_play() {
+    let seed = number_from("LENTIL_SEED", SEED);
+    let until = Instant::now() + Duration::from_secs(number_from("LENTIL_PLAY_S", PLAY_S));
+    println!("seed {seed}");
+    let mut play = Play {
+        fleet: Fleet::start("random_play", GATEWAYS, &config(1)),
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        callers: Vec::new(),
+        begun: 0,
+        taken_up: 0,
+        refused: 0,
+        newest: 1,
+    };
+    while Instant::now() < until {
+        play.step();
+    }
+    let Play {
+        begun,
+        taken_up,
+        refused,
+        ..
+    } = play;
+    println!("{begun} begun, {taken_up} taken up, {refused} refused");
+    assert!(taken_up > 0);
+}
