Change the default version within the random play, and pause a gateway

The play uses a timeout of 2.5 s, so that default versions change within it; callers give their streams up before twice that time. Four streams begin or are taken up in a step. New: paused_gateway, a gateway is paused while the default version changes, and a request waits at it.

--- a/crates/lentiltray/tests/it/taken_up_play.rs
+++ b/crates/lentiltray/tests/it/taken_up_play.rs
@@ -8,8 +8,9 @@
 use rand::seq::IndexedRandom as _;
 use rand_chacha::ChaCha8Rng;
 
-use crate::gateway_harness::config;
-use crate::version_fleet::{Caller, EVENTS, EngineOptions, Fleet, READ_EVENTS};
+use crate::version_fleet::{
+    Caller, EVENTS, EngineOptions, Fleet, READ_EVENTS, config_with_timeout,
+};
 
 /// Duration of the play if `LENTIL_PLAY_S` is not set.
 const PLAY_S: u64 = 12;
@@ -17,8 +18,15 @@
 const SEED: u64 = 20_261_204;
 /// Number of gateways.
 const GATEWAYS: usize = 3;
+/// Timeout of the route: short, so that the default version changes within a play.
+const TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Age at which a caller gives its stream up: twice the timeout, after which it counts as
+/// gone, without what a last take-up may wait for.
+const AGE_MAX: Duration = Duration::from_millis(4_000);
 /// Largest number of streams at once.
-const CALLERS: usize = 12;
+const CALLERS: usize = 16;
+/// Number of streams that begin, or are taken up, in one step.
+const STEP_CALLERS: usize = 4;
 /// Largest number of events that a caller reads in one step.
 const STEP_EVENTS: usize = 8;
 
@@ -49,12 +57,13 @@
 
     /// Does one random thing.
     fn step(&mut self) {
+        self.callers.retain(|caller| caller.age() < AGE_MAX);
         match self.rng.random_range(0..40) {
             0 => self.lose_gateways(1),
             1 => self.lose_gateways(GATEWAYS),
-            2 => self.change_versions(),
-            3..=15 => self.begin(),
-            16..=27 => self.take_up(),
+            2..=4 => self.change_versions(),
+            5..=15 => (0..STEP_CALLERS).for_each(|_| self.begin()),
+            16..=27 => (0..STEP_CALLERS).for_each(|_| self.take_up()),
             _ => self.read(),
         }
     }
@@ -165,7 +174,7 @@
     let until = Instant::now() + Duration::from_secs(number_from("LENTIL_PLAY_S", PLAY_S));
     println!("seed {seed}");
     let mut play = Play {
-        fleet: Fleet::start("random_play", GATEWAYS, &config(1)),
+        fleet: Fleet::start("random_play", GATEWAYS, &config_with_timeout(TIMEOUT)),
         rng: ChaCha8Rng::seed_from_u64(seed),
         callers: Vec::new(),
         begun: 0,
@@ -176,12 +185,13 @@
     while Instant::now() < until {
         play.step();
     }
+    let defaults = play.fleet.store.appended_defaults();
     let Play {
         begun,
         taken_up,
         refused,
         ..
     } = play;
-    println!("{begun} begun, {taken_up} taken up, {refused} refused");
+    println!("{begun} begun, {taken_up} taken up, {refused} refused, {defaults} defaults");
     assert!(taken_up > 0);
 }
--- a/crates/lentiltray/tests/it/taken_up_streams.rs
+++ b/crates/lentiltray/tests/it/taken_up_streams.rs
@@ -6,13 +6,15 @@
 
 use crate::fake_store::CallFault;
 use crate::gateway_harness::{config, wait_until};
-use crate::version_fleet::{Caller, EngineOptions, Fleet, READ_EVENTS, assert_version_gone};
+use crate::version_fleet::{
+    Caller, EngineOptions, Fleet, READ_EVENTS, assert_version_gone, config_with_timeout,
+};
 
 /// Timeout of the resumable route where a test waits for the take-up time: long enough for
 /// a whole stream.
-const SHORT_TIMEOUT_MS: u64 = 2_000;
-/// Time after which no caller can come back with a stream that isn't recorded, 10 s at least, and some
-/// time for gateways to notice.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which no caller can come back with a stream that isn't recorded, which is 10 s at
+/// least, and some time for gateways to notice.
 const TAKE_UP_TIME: Duration = Duration::from_secs(11);
 /// Time within which a request is refused that can't succeed.
 const REFUSAL_TIME: Duration = Duration::from_secs(1);
@@ -24,15 +26,6 @@
 /// Number of streams that are taken up at once.
 const CROWD: usize = 8;
 
-/// The configuration of all tests with a shorter timeout of the resumable route.
-fn short_config() -> Value {
-    let mut config = config(1);
-    let routes = config["routes"].as_array_mut().unwrap();
-    let notes = routes.iter_mut().find(|route| route["name"] == "/note/");
-    notes.unwrap()["timeoutMs"] = json!(SHORT_TIMEOUT_MS);
-    config
-}
-
 /// The configuration of all tests with a second organisation, whose key is `k2`.
 fn config_of_two() -> Value {
     let mut config = config(1);
@@ -268,7 +261,7 @@
 /// A stream of unknown version was refused though one version has served all the while.
 #[test]
 fn invalid_resumes_alone() {
-    let fleet = Fleet::start("invalid_alone", 2, &short_config());
+    let fleet = Fleet::start("invalid_alone", 2, &config_with_timeout(SHORT_TIMEOUT));
     std::thread::sleep(TAKE_UP_TIME);
     for value in invalid_resumes() {
         let mut caller = fleet.begin_one_at(0, "v1");
@@ -434,7 +427,7 @@
 /// Streams went on at another version around a change of the default version.
 #[test]
 fn versions_follow() {
-    let mut fleet = Fleet::start("versions_follow", 2, &short_config());
+    let mut fleet = Fleet::start("versions_follow", 2, &config_with_timeout(SHORT_TIMEOUT));
     take_up_each(&fleet, &["v1"]);
     let two = |fleet: &mut Fleet, version| {
         for _ in 0..2 {
@@ -463,10 +456,40 @@
 /// Streams went on at another version when a version that had left came back.
 #[test]
 fn version_returns() {
-    let mut fleet = Fleet::start_overlap("version_returns", 2, &short_config());
+    let mut fleet = Fleet::start_overlap("version_returns", 2, &config_with_timeout(SHORT_TIMEOUT));
     fleet.remove_version("v1");
     std::thread::sleep(TAKE_UP_TIME);
     take_up_each(&fleet, &["v2"]);
     fleet.add_engine("v1", EngineOptions::default());
     take_up_each(&fleet, &["v1", "v2"]);
 }
+
+/// A gateway that had been paused left a stream unrecorded at the version that had been the
+/// default before.
+#[test]
+fn paused_gateway() {
+    let mut fleet = Fleet::start("paused_gateway", 2, &config_with_timeout(SHORT_TIMEOUT));
+    let paused = fleet.take_gateway(0);
+    paused.signal("-STOP");
+    wait_until("the gateway is paused", || paused.is_paused());
+    fleet.add_engine("v2", EngineOptions::default());
+    fleet.remove_version("v1");
+    wait_until("the default version changes", || {
+        fleet.store.appended_defaults() == 2
+    });
+    let mut caller = Caller::new("paused");
+    let connection = caller.open(paused.address("callers"), "paused-1", "");
+    paused.signal("-CONT");
+    if caller.receive_head("paused-1", connection).is_ok() {
+        caller.read_until(READ_EVENTS);
+    }
+    if caller.received() > 0 {
+        let has_left = caller.version() == "v1";
+        let taken_up = caller.take_up(fleet.address(0));
+        if has_left {
+            assert_version_gone(taken_up);
+        } else {
+            taken_up.unwrap();
+        }
+    }
+}
--- a/crates/lentiltray/tests/it/version_fleet.rs
+++ b/crates/lentiltray/tests/it/version_fleet.rs
@@ -13,7 +13,7 @@
 };
 use crate::fake_store::Store;
 use crate::gateway_harness::{
-    Replica, free_port, readiness, register_version, signature_headers, start_gateway,
+    Replica, config, free_port, readiness, register_version, signature_headers, start_gateway,
     start_observer, wait_until, write_response,
 };
 
@@ -231,9 +231,14 @@
         self.gateways.push(gateway);
     }
 
+    /// Takes a gateway out of the fleet, which no longer waits for it.
+    pub(crate) fn take_gateway(&mut self, gateway: usize) -> DaemonProcess {
+        self.gateways.remove(gateway)
+    }
+
     /// Kills a gateway. Those behind it move up by one.
     pub(crate) fn kill_gateway(&mut self, gateway: usize) {
-        let mut process = self.gateways.remove(gateway);
+        let mut process = self.take_gateway(gateway);
         process.kill();
         process.wait();
     }
@@ -297,6 +302,7 @@
     attempts: usize,
     /// The attempt that brought the first event.
     first_attempt: String,
+    begun_at: Option<Instant>,
     /// The ids and versions of the whole events that were received.
     events: Vec<(u64, String)>,
     connection: Option<(ClientConnection, ReceivedResponse)>,
@@ -400,6 +406,17 @@
         attempt: &str,
         extra_headers: &str,
     ) -> Result<(), ReceivedResponse> {
+        let connection = self.open(gateway, attempt, extra_headers);
+        self.receive_head(attempt, connection)
+    }
+
+    /// Sends a request on a new connection, and reads nothing.
+    pub(crate) fn open(
+        &mut self,
+        gateway: SocketAddr,
+        attempt: &str,
+        extra_headers: &str,
+    ) -> ClientConnection {
         let head = format!(
             "POST /note/a HTTP/1.1\nHost: h.example\nAttempt-Id: {attempt}\n\
              Deadline-Ms: 8000\nAuthorization: Bearer {}\nToken-Usage: 300,40\n\
@@ -409,6 +426,15 @@
         self.connection = None;
         let mut connection = ClientConnection::open(gateway);
         connection.send(&head, "hello");
+        connection
+    }
+
+    /// Waits for the head of an answer.
+    pub(crate) fn receive_head(
+        &mut self,
+        attempt: &str,
+        mut connection: ClientConnection,
+    ) -> Result<(), ReceivedResponse> {
         let mut response = connection.receive_head().expect("no answer");
         if response.status != 200 {
             connection.receive_body(&mut response);
@@ -416,6 +442,7 @@
         }
         if self.events.is_empty() {
             attempt.clone_into(&mut self.first_attempt);
+            self.begun_at = Some(Instant::now());
         }
         self.connection = Some((connection, response));
         Ok(())
@@ -449,6 +476,12 @@
         self.connection.is_some()
     }
 
+    /// Time since the stream began.
+    pub(crate) fn age(&self) -> Duration {
+        self.begun_at
+            .map_or(Duration::ZERO, |begun_at| begun_at.elapsed())
+    }
+
     /// The version that wrote the first event.
     pub(crate) fn version(&self) -> &str {
         &self.events[0].1
@@ -492,6 +525,15 @@
     )
 }
 
+/// The configuration of the other tests with another timeout of the resumable route.
+pub(crate) fn config_with_timeout(timeout: Duration) -> Value {
+    let mut config = config(1);
+    let routes = config["routes"].as_array_mut().unwrap();
+    let notes = routes.iter_mut().find(|route| route["name"] == "/note/");
+    notes.unwrap()["timeoutMs"] = json!(u64::try_from(timeout.as_millis()).unwrap());
+    config
+}
+
 /// Checks that a take-up was refused as one that no repeat can help.
 pub(crate) fn assert_version_gone(result: Result<(), ReceivedResponse>) {
     let refusal = result.expect_err("the stream went on");
