Take streams up after engines restarted under their ids, and at engines without a version

New: engines_restarted, engines come back under their ids with another version, and streams of the former one are refused; unstated_version, engines without a version count as a version of their own.

--- a/crates/lentiltray/tests/it/taken_up_streams.rs
+++ b/crates/lentiltray/tests/it/taken_up_streams.rs
@@ -128,6 +128,35 @@
     }
 }
 
+/// A stream went on at an engine that had restarted under its id with another version.
+#[test]
+fn engines_restarted() {
+    let mut fleet = Fleet::start("engines_restarted", 2, &config(1));
+    let mut callers = fleet.begin_at(0, "v1", 2);
+    fleet.restart_engines("v2");
+    assert_version_gone(callers[0].take_up(fleet.address(1)));
+    let later = fleet.begin_at(0, "v2", 2);
+    fleet.kill_all_gateways();
+    fleet.add_gateway();
+    assert_version_gone(callers[1].take_up(fleet.address(0)));
+    fleet.complete_all(&[0], later);
+}
+
+/// Streams of engines that state no version, and of the others beside them, went on at each
+/// other's.
+#[test]
+fn unstated_version() {
+    let mut fleet = Fleet::start("unstated_version", 2, &config(1));
+    for _ in 0..2 {
+        fleet.add_engine("", EngineOptions::default());
+    }
+    let mut callers = fleet.begin_at(0, "", 2);
+    callers.extend(fleet.begin_at(1, "v1", 2));
+    fleet.kill_all_gateways();
+    fleet.add_gateway();
+    fleet.complete_all(&[0], callers);
+}
+
 /// Streams were recorded, or refused, though there has only been one version.
 #[test]
 fn single_version() {
--- a/crates/lentiltray/tests/it/version_fleet.rs
+++ b/crates/lentiltray/tests/it/version_fleet.rs
@@ -211,6 +211,22 @@
         }
     }
 
+    /// Restarts the listed engines with another version under their ids, at new addresses, and
+    /// waits until all gateways send streams there.
+    pub(crate) fn restart_engines(&mut self, version: &str) {
+        let listed = self.engines.iter_mut().filter(|engine| engine.is_listed);
+        for engine in listed {
+            let name = engine.replica.name.clone();
+            let options = EngineOptions::default();
+            engine.replica = start_engine(Ipv4Addr::LOCALHOST, &name, version, options);
+            version.clone_into(&mut engine.version);
+            register_version(&self.store, &engine.replica, "writers", version);
+        }
+        for gateway in 0..self.gateways() {
+            self.begin_one_at(gateway, version);
+        }
+    }
+
     /// The versions of the listed engines, in the order of their start.
     pub(crate) fn listed_versions(&self) -> Vec<String> {
         let listed = self.engines.iter().filter(|engine| engine.is_listed);
