Test how old a copy gateways act on behind an observer that is cut from the log

The tests run a gateway, an observer and two fake stores with the same records; the observer's store falls silent, and requests that are sent from 2,000 ms after a change on must not follow the older copy. The fake store now also leaves reads without a response that wait for records when it falls silent, as a cut does: it answered these before, so that the observer learned that nothing had been written up to a later time.

--- a/crates/lentiltray/tests/it/fake_store.rs
+++ b/crates/lentiltray/tests/it/fake_store.rs
@@ -15,7 +15,8 @@
 pub(crate) enum StoreMode {
     #[default]
     Serving,
-    /// It accepts requests and sends no response.
+    /// It accepts requests and sends no response, as to a client that is cut off. A read that
+    /// waits for records when this mode begins gets no response either.
     Silent,
     /// It rejects requests with this status.
     Refusing(u16),
@@ -56,6 +57,8 @@
     topics: BTreeMap<String, Topic>,
     mode: StoreMode,
     calls: usize,
+    /// The calls for each topic.
+    topic_calls: BTreeMap<String, usize>,
     /// The `waitMs` values of reads of operators' orders, in request order.
     order_wait_ms: Vec<u64>,
     /// Appends whose body contains this text are dropped without a response.
@@ -102,6 +105,13 @@
         self.state.lock().unwrap().calls
     }
 
+    /// The calls for the operators' and the endpoints' topic.
+    pub(crate) fn platform_calls(&self) -> usize {
+        let state = self.state.lock().unwrap();
+        let calls = |topic| state.topic_calls.get(topic).copied().unwrap_or(0);
+        calls("keyed.op") + calls("keyed.servers")
+    }
+
     pub(crate) fn order_wait_ms(&self) -> Vec<u64> {
         self.state.lock().unwrap().order_wait_ms.clone()
     }
@@ -185,6 +195,8 @@
     let mode = {
         let mut state = state.lock().unwrap();
         state.calls += 1;
+        let topic = request.query("topic").unwrap_or("").to_owned();
+        *state.topic_calls.entry(topic).or_default() += 1;
         let mode = state.mode;
         if request.query("topic") == Some("keyed.op") {
             state.mode = match mode {
@@ -219,6 +231,10 @@
         StoreMode::Refusing(status) => response_with_length(status, "", b""),
         StoreMode::Serving | StoreMode::OrderReads(_) => store_response(state, request),
     };
+    if state.lock().unwrap().mode == StoreMode::Silent {
+        std::thread::sleep(Duration::from_secs(30));
+        return ConnectionAction::Close;
+    }
     write_response(stream, &bytes)
 }
 
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod broken_resumes;
 mod caller;
 mod config_backlog;
+mod copy_age;
 mod daemon_process;
 mod dropped_idle;
 mod end_to_end;
--- a/crates/lentiltray/tests/it/shared_log.rs
+++ b/crates/lentiltray/tests/it/shared_log.rs
@@ -47,6 +47,11 @@
 impl RelaySite {
     /// Starts the processes and waits until the gateway reads through the relay.
     pub(crate) fn start(test: &str) -> Self {
+        Self::start_revoking(test, REVOKE_MS)
+    }
+
+    /// Like [`RelaySite::start`], with the time after which a revoked key must stop working.
+    pub(crate) fn start_revoking(test: &str, revoke_ms: u64) -> Self {
         let host = Ipv4Addr::LOCALHOST;
         let engine = Replica::start_at(host, "i-1", engine);
         let desk = Replica::start("i-2", respond_ok);
@@ -54,7 +59,7 @@
         let relay_store = Store::start();
         let observer = start_observer(test, &engine, port, Some(&relay_store));
         relay_store.put("keyed.op", "config", Some(&config(1)));
-        let bounds = format!("revoke_ms: {REVOKE_MS}, direct_readers_max: 0");
+        let bounds = format!("revoke_ms: {revoke_ms}, direct_readers_max: 0");
         let endpoints = [(&engine, "writers"), (&desk, "desk")];
         let site = Site::start_bounded(test, &endpoints, port, &bounds);
         for (replica, service) in endpoints {
@@ -75,13 +80,13 @@
     }
 
     /// Publishes a version of the configuration in which only `key` is valid.
-    fn publish(&self, store: &Store, version: u64, key: &str) {
+    pub(crate) fn publish(&self, store: &Store, version: u64, key: &str) {
         let mut next = config(version);
         next["tenants"] = json!([{"name": "council", "apiKeys": [key], "priority": 1}]);
         store.put("keyed.op", "config", Some(&next));
     }
 
-    fn status(&self, id: &str) -> u16 {
+    pub(crate) fn status(&self, id: &str) -> u16 {
         self.site.call("/lookup/a", id, "").unwrap().status
     }
 }
