--- a/crates/lentiltray/tests/it/fake_store.rs
+++ b/crates/lentiltray/tests/it/fake_store.rs
@@ -107,9 +107,12 @@
 
     /// The calls for the operators' and the endpoints' topic.
     pub(crate) fn platform_calls(&self) -> usize {
+        self.calls_for("keyed.op") + self.calls_for("keyed.servers")
+    }
+
+    pub(crate) fn calls_for(&self, topic: &str) -> usize {
         let state = self.state.lock().unwrap();
-        let calls = |topic| state.topic_calls.get(topic).copied().unwrap_or(0);
-        calls("keyed.op") + calls("keyed.servers")
+        state.topic_calls.get(topic).copied().unwrap_or(0)
     }
 
     pub(crate) fn order_wait_ms(&self) -> Vec<u64> {
