Gateways no longer act on the old copy of an observer that is cut from the log

The age of an observer's answer now decides alone. The operators' records are accepted up to 1,200 ms, less than the gateway lets the observer wait (1,250 ms), so an observer that the log has not answered meanwhile is not accepted. The endpoints' records are accepted up to 950 ms, and read again at that age. An observer that does not answer 150 ms after its wait has failed; the log is read in the same step. If the log itself takes 250 ms or more, older copies are accepted for 2 s, so that a fleet does not turn to a slow log.

source_choice::old_confirmation_counts_as_failure expected that a copy of 2,000 ms is accepted, which is the fault; it now expects 1,250 ms to be refused for the operators' and endpoints' topics, and the old limit for the default versions.

--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -15,9 +15,16 @@
 mod confirmation;
 mod record;
 mod source;
+mod timing;
 mod topic_cache;
 
 pub use confirmation::{ConfirmationError, ConfirmationOffset};
 pub use record::{KeyedRecord, LogTopic, RecordPage};
 pub use source::{ReadSource, SourceChooser};
+pub use timing::{
+    ENDPOINTS_AGE_MAX, ENDPOINTS_RECENT, ENDPOINTS_RELAY_WAIT, OPERATORS_AGE_MAX,
+    OPERATORS_RELAY_WAIT, RECORD_DELAY_MAX, RELAY_ENDPOINTS_PAUSE, RELAY_LOG_WAIT,
+    RELAY_RESPONSE_TIMEOUT, RelayTiming, SHARED_READ_PAUSE, SHARED_READ_PAUSE_MIN, SLOW_LOG,
+    SLOW_LOG_GRACE, next_shared_read,
+};
 pub use topic_cache::{CacheError, TopicCache};
--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -6,6 +6,9 @@
 
 use lentil_core::{Span, Time};
 
+use crate::LogTopic;
+use crate::timing::{RelayTiming, SLOW_LOG, SLOW_LOG_GRACE};
+
 /// How long a relay is not asked after it failed.
 const RELAY_BACKOFF: Span = Span::from_ms(2_000);
 /// Age of a confirmation beyond which a relay counts as failed, in percent of the time
@@ -37,6 +40,9 @@
 /// the next relay is tried, so that two bad relays in a row don't use up the time for
 /// which the configuration is trusted. After the log has failed, a relay is tried, even
 /// one that has failed, since the log may turn only some hosts away.
+///
+/// An answer of a relay that the log has not confirmed lately counts as a failure. While the log
+/// itself is slow, older answers are accepted, as the log would be no faster for all gateways.
 #[derive(Debug)]
 pub struct SourceChooser {
     direct_readers_max: u32,
@@ -46,6 +52,8 @@
     failed_until: HashMap<SocketAddr, Time>,
     log_is_next: bool,
     log_failed: bool,
+    /// Until when older copies are accepted.
+    log_slow_until: Time,
 }
 
 impl SourceChooser {
@@ -61,6 +69,7 @@
             failed_until: HashMap::new(),
             log_is_next: true,
             log_failed: false,
+            log_slow_until: Time::ZERO,
         }
     }
 
@@ -73,10 +82,16 @@
         }
     }
 
+    /// Whether there are more gateways than may read the log themselves, and relays.
+    #[must_use]
+    pub fn uses_relays(&self) -> bool {
+        self.readers > self.direct_readers_max && !self.relays.is_empty()
+    }
+
     /// Chooses where to read next.
     #[must_use]
     pub fn choose(&self, now: Time) -> ReadSource {
-        if self.log_is_next || self.readers <= self.direct_readers_max {
+        if self.log_is_next || !self.uses_relays() {
             return ReadSource::Log;
         }
         let failed_until = |relay: &&SocketAddr| {
@@ -92,10 +107,25 @@
         relay.map_or(ReadSource::Log, |relay| ReadSource::Relay(*relay))
     }
 
-    /// Returns whether a confirmation is recent enough to go on reading at a relay.
+    /// Returns whether a confirmation is recent enough to go on reading the topic at a relay.
     #[must_use]
-    pub fn is_recent(&self, now: Time, confirmed_at: Time) -> bool {
-        !(confirmed_at + self.confirmation_age_max).has_passed(now)
+    pub fn is_recent(&self, topic: LogTopic, now: Time, confirmed_at: Time) -> bool {
+        let age_max = RelayTiming::of(topic)
+            .age_max
+            .filter(|_| self.log_slow_until.has_passed(now))
+            .map_or(self.confirmation_age_max, |age| {
+                age.min(self.confirmation_age_max)
+            });
+        !(confirmed_at + age_max).has_passed(now)
+    }
+
+    /// Records how long the log took for a read without a wait. If it is slow, the relays whose
+    /// copies were old have not failed.
+    pub fn record_response_time(&mut self, now: Time, took: Span) {
+        if took >= SLOW_LOG {
+            self.log_slow_until = now + SLOW_LOG_GRACE;
+            self.failed_until.clear();
+        }
     }
 
     /// Records the result of a read.
--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -8,5 +8,6 @@
 )]
 
 mod confirmation_age;
+mod record_delay;
 mod source_choice;
 mod topic_copy;
--- a/crates/feed/tests/it/source_choice.rs
+++ b/crates/feed/tests/it/source_choice.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use lentil_core::{Span, Time};
-use lentil_feed::{ReadSource, SourceChooser};
+use lentil_feed::{LogTopic, ReadSource, SLOW_LOG, SLOW_LOG_GRACE, SourceChooser};
 use proptest::prelude::*;
 
 const TRUST: Span = Span::from_ms(4_300);
@@ -72,8 +72,28 @@
 #[test]
 fn old_confirmation_counts_as_failure() {
     let chooser = chooser(100);
-    assert!(chooser.is_recent(ms(2_000), ms(0)));
-    assert!(!chooser.is_recent(ms(2_500), ms(0)));
+    for topic in [LogTopic::Operators, LogTopic::Endpoints] {
+        assert!(chooser.is_recent(topic, ms(900), ms(0)));
+        assert!(!chooser.is_recent(topic, ms(1_250), ms(0)));
+    }
+    let versions = LogTopic::DefaultVersions;
+    assert!(chooser.is_recent(versions, ms(2_000), ms(0)));
+    assert!(!chooser.is_recent(versions, ms(2_500), ms(0)));
+}
+
+/// Guards against gateways that all read a slow log because their relays' copies get older with
+/// it, and against old copies that are accepted for long after it was slow.
+#[test]
+fn slow_log_keeps_relay() {
+    let mut chooser = chooser(100);
+    chooser.record(ms(1), ReadSource::Relay(relay(1)), false);
+    chooser.record(ms(300), ReadSource::Log, true);
+    chooser.record_response_time(ms(300), SLOW_LOG);
+    assert_eq!(chooser.choose(ms(300)), ReadSource::Relay(relay(1)));
+    let end = ms(300) + SLOW_LOG_GRACE;
+    let old = ms(100);
+    assert!(chooser.is_recent(LogTopic::Operators, end - Span::from_ms(1), old));
+    assert!(!chooser.is_recent(LogTopic::Operators, end, old));
 }
 
 proptest! {
@@ -104,7 +124,7 @@
                 (ReadSource::Relay(_), _) => (RELAY_TIMEOUT_MS, None),
             };
             now_ms += took_ms;
-            let recent = confirmation.filter(|at| chooser.is_recent(ms(now_ms), *at));
+            let recent = confirmation.filter(|at| chooser.is_recent(LogTopic::Operators, ms(now_ms), *at));
             chooser.record(ms(now_ms), source, recent.is_some());
             confirmed_at = confirmed_at.max(confirmation.unwrap_or_default());
             prop_assert!(!(confirmed_at + TRUST).has_passed(ms(now_ms)));
--- a/crates/gateway/src/log_relay.rs
+++ b/crates/gateway/src/log_relay.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use lentil_core::{Offset, Span, Time};
-use lentil_feed::{CacheError, ConfirmationOffset, LogTopic, RecordPage, TopicCache};
+use lentil_feed::{
+    CacheError, ConfirmationOffset, LogTopic, RELAY_ENDPOINTS_PAUSE, RELAY_LOG_WAIT, RecordPage,
+    RelayTiming, TopicCache,
+};
 use lentil_shell::BootClock;
 use lentil_wire::v1;
 use tokio::sync::{Notify, watch};
@@ -15,17 +18,12 @@
 
 /// How long the log is polled after the last request of a gateway.
 const IDLE_TIMEOUT: Span = Span::from_ms(3_000);
-/// Long-poll wait for reads of the topics where records are rare. It bounds the age at which
-/// a confirmation reaches gateways.
-const RARE_RECORDS_WAIT: Duration = Duration::from_millis(900);
-/// Pause between two reads of the endpoints' topic, where records are frequent.
-const ENDPOINTS_PAUSE: Duration = Duration::from_millis(400);
 /// Delay before the first retry after the log failed.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(60);
 /// Longest delay between retries while the log fails.
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(500);
 /// Age from which on a copy is not returned without waiting, even if it has records
-/// that are new to the gateway.
+/// that are new to the gateway, for topics whose readers accept any age.
 const COPY_AGE_MAX: Span = Span::from_ms(1_500);
 /// Longest wait that a gateway may ask for.
 const WAIT_MAX: Duration = Duration::from_millis(5_000);
@@ -103,7 +101,7 @@
             let from = copy.state().cache.next();
             let wait = match copy.topic {
                 LogTopic::Operators | LogTopic::DefaultVersions if from.is_some() && !failing => {
-                    RARE_RECORDS_WAIT
+                    RELAY_LOG_WAIT.into()
                 }
                 LogTopic::Operators | LogTopic::DefaultVersions | LogTopic::Endpoints => {
                     Duration::ZERO
@@ -122,7 +120,7 @@
                     }
                     retry_delay = RETRY_DELAY_MIN;
                     if copy.topic == LogTopic::Endpoints && is_complete {
-                        tokio::time::sleep(ENDPOINTS_PAUSE).await;
+                        tokio::time::sleep(RELAY_ENDPOINTS_PAUSE.into()).await;
                     }
                 }
                 Err(error) => {
@@ -176,9 +174,10 @@
             let waits = match &read {
                 Ok(page) if page.confirmed_at > Some(known_confirmation) => false,
                 Ok(page) if page.confirmed_at >= Some(recent_from) => false,
-                // The copy of a relay that was idle is too old for any reader.
+                // Readers don't accept a copy that is too old, as that of a relay that was idle.
                 Ok(page) => {
-                    let is_old = |at: Time| (at + COPY_AGE_MAX).has_passed(received_at);
+                    let age_max = RelayTiming::of(copy.topic).age_max.unwrap_or(COPY_AGE_MAX);
+                    let is_old = |at: Time| (at + age_max).has_passed(received_at);
                     page.records.is_empty() || page.confirmed_at.is_none_or(is_old)
                 }
                 Err(CacheError::NotLoaded | CacheError::Behind { .. }) => true,
--- a/crates/gateway/src/relayed_log.rs
+++ b/crates/gateway/src/relayed_log.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use lentil_core::{Offset, Span, Time};
 use lentil_feed::{
-    ConfirmationOffset, KeyedRecord, LogTopic, ReadSource, RecordPage, SourceChooser,
+    ConfirmationOffset, KeyedRecord, LogTopic, ReadSource, RecordPage, RelayTiming, SourceChooser,
 };
 use lentil_fleet::EntryCounter;
 use lentil_shell::BootClock;
@@ -22,16 +22,6 @@
 
 /// Longest wait for a connection to a relay.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Response timeout of a relay, in addition to the wait of the request.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Wait at a relay for a newer confirmation. It is longer than the relay's own wait for
-/// the log, so that each reply brings one. With a longer one, a relay that stops
-/// answering would use up the time for which the configuration is trusted.
-const CONFIRMATION_WAIT: Duration = Duration::from_millis(1_200);
-/// Wait at a relay that has no recent copy, because it just began to read.
-const LOAD_WAIT: Duration = Duration::from_millis(400);
-/// Age up to which a relay returns its copy at once if the reader asks for no wait.
-const COPY_AGE_MAX: Span = Span::from_ms(900);
 
 /// The relays and the number of gateways, as known to the control thread.
 #[derive(Debug, Default)]
@@ -110,9 +100,9 @@
     ) -> Result<RecordPage, StoreError> {
         let source = self.choose();
         if let ReadSource::Relay(relay) = source {
-            let read = self.read_relay(relay, topic, from, wait).await;
+            let read = self.read_relay(relay, topic, from).await;
             let now = self.clock.now();
-            let read = read.and_then(|page| self.check_recent(now, page));
+            let read = read.and_then(|page| self.check_recent(topic, now, page));
             self.chooser.borrow_mut().record(now, source, read.is_ok());
             match read {
                 Ok(page) => return Ok(page),
@@ -128,15 +118,25 @@
         } else {
             Duration::ZERO
         };
+        let asked_at = self.clock.now();
         let read = self.log.read(topic, from, wait).await;
+        let now = self.clock.now();
         let mut chooser = self.chooser.borrow_mut();
-        chooser.record(self.clock.now(), ReadSource::Log, read.is_ok());
+        chooser.record(now, ReadSource::Log, read.is_ok());
+        if read.is_ok() && wait.is_zero() {
+            chooser.record_response_time(now, now.since(asked_at));
+        }
         read
     }
 
-    fn check_recent(&self, now: Time, page: RecordPage) -> Result<RecordPage, StoreError> {
+    fn check_recent(
+        &self,
+        topic: LogTopic,
+        now: Time,
+        page: RecordPage,
+    ) -> Result<RecordPage, StoreError> {
         let confirmed_at = page.confirmed_at.unwrap_or(Time::ZERO);
-        if self.chooser.borrow().is_recent(now, confirmed_at) {
+        if self.chooser.borrow().is_recent(topic, now, confirmed_at) {
             return Ok(page);
         }
         let age_ms = now.since(confirmed_at).as_ms();
@@ -163,22 +163,18 @@
         relay: SocketAddr,
         topic: LogTopic,
         from: Option<Offset>,
-        wait: Duration,
     ) -> Result<RecordPage, StoreError> {
         let mut client = self.client(relay)?;
-        let (wait, confirmed_within) = if wait.is_zero() {
-            (LOAD_WAIT, COPY_AGE_MAX)
-        } else {
-            (CONFIRMATION_WAIT, Span::ZERO)
-        };
+        let timing = RelayTiming::of(topic);
         let request = v1::ReadLogRequest {
             topic: wire_topic(topic).into(),
             from_offset: from.map(Offset::get),
-            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
-            confirmed_within_ms: confirmed_within.as_ms(),
+            wait_ms: timing.wait.as_ms(),
+            confirmed_within_ms: timing.confirmed_within.as_ms(),
         };
         let requested_at = self.clock.now();
-        let reply = tokio::time::timeout(RESPONSE_TIMEOUT + wait, client.read_log(request)).await;
+        let timeout = Duration::from(timing.wait) + Duration::from(timing.response_timeout);
+        let reply = tokio::time::timeout(timeout, client.read_log(request)).await;
         let now = self.clock.now();
         let reply = reply
             .map_err(|_| StoreError::RelayFailed("the response timed out".into()))?
@@ -205,7 +201,7 @@
     }
 
     fn is_shared(&self) -> bool {
-        self.last_source.get() != ReadSource::Log
+        self.chooser.borrow().uses_relays()
     }
 }
 
