Streams were refused as unreadable while the log held no default version

The request takes a stream up as soon as the gateway is ready, before any default version is written; the look-up waited for one for its whole 800 ms. taken_up_streams::single_version counted records that were written before a gateway had read the default.

Cause: without a default in the log a look-up could not be decided. But until there is one, every stream is recorded, so that one without a record began at the only version that serves, if there is only one. In the same way a take-up that names no attempt was refused if any record was kept, though all records named the default.

Change: both cases are decided. Gateways log `default version read`, and the tests wait for that line.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -4,12 +4,12 @@
 //! writes the log for it, and applies what it knows to requests that take a stream up.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use lentil_core::{NotRunProof, Offset, Refusal, RefusalReason, Span, Time};
+use lentil_core::{NotRunProof, Offset, Refusal, RefusalReason, ServiceName, Span, Time};
 use lentil_origin::{Lookup, Origins, StreamRecord, VersionCounts};
 use lentil_rollout::Version;
 use tokio::sync::{Mutex, Notify, oneshot};
@@ -74,6 +74,8 @@
     defaults_wanted_at: Cell<Time>,
     /// The end of the log of default versions when they were read.
     defaults_end: Cell<Option<Offset>>,
+    /// The default versions as last read.
+    defaults: RefCell<BTreeMap<ServiceName, Option<Version>>>,
     defaults_read_at: Cell<Option<Time>>,
     /// Until when the log counts as unreadable.
     unreadable_until: Cell<Time>,
@@ -94,6 +96,7 @@
             defaults_wanted: Arc::default(),
             defaults_wanted_at: Cell::default(),
             defaults_end: Cell::default(),
+            defaults: RefCell::default(),
             defaults_read_at: Cell::default(),
             unreadable_until: Cell::default(),
             write_due: Cell::default(),
@@ -124,6 +127,13 @@
         let mut origins = self.origins.borrow_mut();
         origins.record_defaults(read.asked_at, &read.defaults);
         self.defaults_end.set(Some(read.end));
+        let before = self.defaults.replace(read.defaults.clone());
+        for (service, version) in &read.defaults {
+            if before.get(service) != Some(version) {
+                let version = version.as_ref().map_or("", Version::as_str);
+                log::info!(service:% = service, version = version; "default version read");
+            }
+        }
         self.defaults_read_at
             .set(self.defaults_read_at.get().max(Some(read.asked_at)));
     }
--- a/crates/lentiltray/tests/it/version_fleet.rs
+++ b/crates/lentiltray/tests/it/version_fleet.rs
@@ -142,9 +142,9 @@
             let mut caller = Caller::new(&format!("first{gateway}"));
             caller.begin(fleet.address(gateway));
         }
-        wait_until("the default version is written", || {
-            fleet.store.appended_defaults() > 0
-        });
+        for gateway in &fleet.gateways {
+            gateway.wait_for_line("default version read");
+        }
         self
     }
 
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -175,7 +175,10 @@
     #[must_use]
     pub fn look_up_unnamed(&self, now: Time, service: &ServiceName, arrived_at: Time) -> Lookup {
         match self.default_if_read(now, service, arrived_at) {
-            Ok(default) if self.only_default_served(now, service) || self.records.len() == 0 => {
+            Ok(default)
+                if self.only_default_served(now, service)
+                    || self.records.versions().all(|version| version == default) =>
+            {
                 Lookup::Began(default.clone())
             }
             Ok(_) => Lookup::Unknown,
--- a/crates/origin/src/records.rs
+++ b/crates/origin/src/records.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// The versions of all records.
+    pub(crate) fn versions(&self) -> impl Iterator<Item = &Option<Version>> {
+        self.table.values().map(|(version, _)| version)
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.table.len()
     }
--- a/crates/origin/src/service.rs
+++ b/crates/origin/src/service.rs
@@ -125,6 +125,13 @@
         self.default.as_ref()?.version.as_ref()
     }
 
+    /// The version of all known endpoints, if it is the same. While the log holds no default, every
+    /// stream is recorded, so that one without a record has not begun at another version.
+    fn only_version(&self) -> Option<&Option<Version>> {
+        let mut versions = self.counts.keys();
+        versions.next().filter(|_| versions.next().is_none())
+    }
+
     /// Whether all known versions are the default.
     fn is_alone(&self) -> bool {
         let default = self.default_version();
@@ -148,8 +155,13 @@
         arrived_at: Time,
     ) -> Option<&Option<Version>> {
         let read = self.default.as_ref()?;
+        if read.asked_at < arrived_at {
+            return None;
+        }
+        if read.version.is_none() && read.asked_at >= self.appeared_at {
+            return self.only_version();
+        }
         self.current_default(now)
-            .filter(|_| read.asked_at >= arrived_at)
     }
 
     /// The default version whose streams need no record. While a version that came back is not
