Take a stream up for longer than the take-up time, and share an id between organisations

New: record_renewed, a stream is taken up again and again for ten seconds where the take-up time is four. foreign_attempt_apart now begins the other organisation's stream first: a record that is there before holds, so the test passed with a key that leaves the organisation out.

Trials with the code changed: without the request's fingerprint in the key both foreign_attempt tests fail; without a record at take-ups record_renewed fails, and taken_up_again and records_expired don't show it.

--- a/crates/lentiltray/tests/it/taken_up_streams.rs
+++ b/crates/lentiltray/tests/it/taken_up_streams.rs
@@ -258,6 +258,22 @@
     fleet.complete_all(&[0], callers);
 }
 
+/// A stream that was taken up again and again for longer than the take-up time went on at
+/// another version, as its record was not renewed.
+#[test]
+fn record_renewed() {
+    let fleet = Fleet::start_overlap("record_renewed", 2, &config_with_timeout(SHORT_TIMEOUT));
+    let mut caller = fleet.begin_one_at(0, "v2");
+    while caller.age() < TAKE_UP_TIME * 2 {
+        std::thread::sleep(SETTLE_TIME * 2);
+        let gateway = caller.received() / READ_EVENTS % 2;
+        caller.take_up(fleet.address(gateway)).unwrap();
+        caller.read_until(caller.received() + READ_EVENTS);
+        caller.check();
+    }
+    caller.complete_at(fleet.address(1));
+}
+
 /// Values of `Resumes` that name no attempt; `None` stands for a missing header.
 fn invalid_resumes() -> [Option<String>; 4] {
     let long = "r".repeat(257);
@@ -347,18 +363,21 @@
 #[test]
 fn foreign_attempt_apart() {
     let fleet = Fleet::start_overlap("foreign_apart", 2, &config_of_two());
+    let mut begun = 0;
     for (version, other) in [("v1", "v2"), ("v2", "v1")] {
-        let mut own = None;
-        wait_until("a foreign stream begins at the other version", || {
-            let caller = own.insert(fleet.begin_one_at(0, version));
+        let mut own = Caller::default();
+        wait_until("both begin streams at these versions", || {
+            begun += 1;
+            let attempt = format!("shared{begun}");
             let mut foreign = Caller::with_key("foreign", "k2");
-            foreign
-                .send_as(fleet.address(0), caller.first_attempt(), "")
-                .unwrap();
-            foreign.read_until(1);
-            foreign.version() == other
+            own = Caller::new(&format!("own{begun}"));
+            for caller in [&mut foreign, &mut own] {
+                caller.send_as(fleet.address(0), &attempt, "").unwrap();
+                caller.read_until(READ_EVENTS);
+            }
+            own.version() == version && foreign.version() == other
         });
-        own.unwrap().complete_at(fleet.address(1));
+        own.complete_at(fleet.address(1));
     }
 }
 
