Use an old copy of the log where the log itself fails

A gateway that the store turns away, while it serves others, kept its keys through the copy of an observer. With the limits on the age of copies it refused that copy too. If the log fails as well, a copy up to the former limit is used.

--- a/crates/feed/src/source.rs
+++ b/crates/feed/src/source.rs
@@ -110,13 +110,17 @@
     /// Returns whether a confirmation is recent enough to go on reading the topic at a relay.
     #[must_use]
     pub fn is_recent(&self, topic: LogTopic, now: Time, confirmed_at: Time) -> bool {
-        let age_max = RelayTiming::of(topic)
-            .age_max
-            .filter(|_| self.log_slow_until.has_passed(now))
-            .map_or(self.confirmation_age_max, |age| {
-                age.min(self.confirmation_age_max)
-            });
-        !(confirmed_at + age_max).has_passed(now)
+        let bounded = RelayTiming::of(topic).age_max;
+        let age_max = bounded.filter(|_| self.log_slow_until.has_passed(now));
+        let is_bounded_age = age_max.is_none_or(|age| !(confirmed_at + age).has_passed(now));
+        is_bounded_age && self.is_usable(now, confirmed_at)
+    }
+
+    /// Returns whether a copy with this confirmation may be used while the log fails: it renews
+    /// the trust in the configuration although it is too old while the log answers.
+    #[must_use]
+    pub fn is_usable(&self, now: Time, confirmed_at: Time) -> bool {
+        !(confirmed_at + self.confirmation_age_max).has_passed(now)
     }
 
     /// Records how long the log took for a read without a wait. If it is slow, the relays whose
--- a/crates/feed/tests/it/source_choice.rs
+++ b/crates/feed/tests/it/source_choice.rs
@@ -76,6 +76,8 @@
         assert!(chooser.is_recent(topic, ms(900), ms(0)));
         assert!(!chooser.is_recent(topic, ms(1_250), ms(0)));
     }
+    assert!(chooser.is_usable(ms(2_000), ms(0)));
+    assert!(!chooser.is_usable(ms(2_500), ms(0)));
     let versions = LogTopic::DefaultVersions;
     assert!(chooser.is_recent(versions, ms(2_000), ms(0)));
     assert!(!chooser.is_recent(versions, ms(2_500), ms(0)));
--- a/crates/gateway/src/relayed_log.rs
+++ b/crates/gateway/src/relayed_log.rs
@@ -99,18 +99,27 @@
         wait: Duration,
     ) -> Result<RecordPage, StoreError> {
         let source = self.choose();
+        let mut old_page = None;
         if let ReadSource::Relay(relay) = source {
             let read = self.read_relay(relay, topic, from).await;
             let now = self.clock.now();
-            let read = read.and_then(|page| self.check_recent(topic, now, page));
-            self.chooser.borrow_mut().record(now, source, read.is_ok());
-            match read {
-                Ok(page) => return Ok(page),
-                Err(error) => {
-                    self.clients.borrow_mut().remove(&relay);
-                    log::info!(relay:% = relay, topic:? = topic; "reading the log instead of the relay: {error}");
+            let mut chooser = self.chooser.borrow_mut();
+            let error = match read {
+                Ok(page) => {
+                    let confirmed_at = page.confirmed_at.unwrap_or(Time::ZERO);
+                    if chooser.is_recent(topic, now, confirmed_at) {
+                        chooser.record(now, source, true);
+                        return Ok(page);
+                    }
+                    old_page = chooser.is_usable(now, confirmed_at).then_some(page);
+                    let age_ms = now.since(confirmed_at).as_ms();
+                    StoreError::RelayFailed(format!("its copy was confirmed {age_ms} ms ago"))
                 }
-            }
+                Err(error) => error,
+            };
+            chooser.record(now, source, false);
+            self.clients.borrow_mut().remove(&relay);
+            log::info!(relay:% = relay, topic:? = topic; "reading the log instead of the relay: {error}");
         }
         // A relay may already have waited for new records.
         let wait = if source == ReadSource::Log {
@@ -126,23 +135,13 @@
         if read.is_ok() && wait.is_zero() {
             chooser.record_response_time(now, now.since(asked_at));
         }
-        read
-    }
-
-    fn check_recent(
-        &self,
-        topic: LogTopic,
-        now: Time,
-        page: RecordPage,
-    ) -> Result<RecordPage, StoreError> {
-        let confirmed_at = page.confirmed_at.unwrap_or(Time::ZERO);
-        if self.chooser.borrow().is_recent(topic, now, confirmed_at) {
-            return Ok(page);
+        match (read, old_page) {
+            (Err(error), Some(page)) => {
+                log::info!(topic:? = topic; "using the relay's copy, as the log failed: {error}");
+                Ok(page)
+            }
+            (read, _) => read,
         }
-        let age_ms = now.since(confirmed_at).as_ms();
-        Err(StoreError::RelayFailed(format!(
-            "its copy was confirmed {age_ms} ms ago"
-        )))
     }
 
     fn client(&self, relay: SocketAddr) -> Result<ObserverClient<Channel>, StoreError> {
--- a/crates/lentiltray/tests/it/shared_log.rs
+++ b/crates/lentiltray/tests/it/shared_log.rs
@@ -65,8 +65,12 @@
         for (replica, service) in endpoints {
             site.register_endpoint_in(&relay_store, replica, service, "ready");
         }
-        // The observer reads a topic only when the gateway asks it, and waits for new orders once
-        // it has read the configuration.
+        // One feed reads the operators' topic, the other one the endpoints'.
+        for _ in 0..2 {
+            site.gateway.wait_for_line("source of the log changed");
+        }
+        // A third feed may have written one of the lines. The observer reads a topic only when
+        // the gateway asks it, and waits for new orders once it has read the configuration.
         wait_until("the gateway reads both topics at the observer", || {
             !relay_store.order_wait_ms().is_empty() && relay_store.calls_for("keyed.servers") > 0
         });
