Start each killed engine of a test with its own clock

killed_as_announced failed 1 of 2 runs beside other work (load 13 on 8 processors). Its message was not kept, and 7 further runs passed. Assumed cause: all four sites were started before the first engine was told to leave, so that the first stream of 3 s could be over by then, and the test rightly asks for a part.

Change: each engine leaves as soon as its own stream has begun, and a stream has 200 events (6 s) instead of 100. The checks are the same.

--- a/crates/lentiltray/tests/it/killed_engines.rs
+++ b/crates/lentiltray/tests/it/killed_engines.rs
@@ -20,8 +20,8 @@
 
 /// Time between two events of the fake engines.
 const EVENT_GAP: Duration = Duration::from_millis(30);
-/// Number of events in a complete stream.
-const EVENTS: usize = 100;
+/// Number of events in a complete stream, which outlasts the notice on a busy host too.
+const EVENTS: usize = 200;
 /// Notice of engines that leave.
 const NOTICE: Duration = Duration::from_millis(1_540);
 
@@ -212,16 +212,11 @@
 /// of its notice: the time that the gateway holds is later by the age of the observer's report.
 #[test]
 fn killed_as_announced() {
-    let fixtures: Vec<_> = (1..=KILLED)
+    let killed: Vec<_> = (1..=KILLED)
         .map(|number| {
-            let test = format!("as_announced_{number}");
-            Fixture::start(&test, number, Duration::ZERO, EVENTS)
-        })
-        .collect();
-    let killed: Vec<_> = fixtures
-        .into_iter()
-        .map(|fixture| {
             std::thread::spawn(move || {
+                let test = format!("as_announced_{number}");
+                let fixture = Fixture::start(&test, number, Duration::ZERO, EVENTS);
                 fixture.leave();
                 fixture.wait_until_gone();
                 fixture.kill();
