Run one drain per engine, and count a replaced open order as unsettled

Callers could get a part of a stream without length or chunks as complete: an engine stopped the run by an order that had no answer yet, and refused the order of a second drain (409), which counted as not carried out. The cause: the record of an engine may return and be removed again, each removal starts a drain, and `Switch::is_unsettled` took an order in flight for a settled one. A later drain now waits until the earlier one has ended its present step, which then gives way, so that no answer is taken for that of another drain. A replaced order is unsettled unless its outcome is known and says that the run was not stopped. Before, the rule gave `false` for an order in flight. Evidence: ended_body::replaced_order for the rule (a new type); stopped_streams::engine_leaves_again plays both drains, fails before (complete after a part) and holds now.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -1,5 +1,6 @@
 //! Moving runs off an engine that is shutting down.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -32,8 +33,37 @@
     rejected_by: BTreeMap<RunKey, Vec<EndpointId>>,
 }
 
+/// Lets one drain at a time give orders to an engine. Answers to the orders of two would be
+/// taken for one another's.
+#[derive(Debug, Default)]
+pub(crate) struct DrainTurn {
+    lock: tokio::sync::Mutex<()>,
+    /// The number of the drain that was begun last. Earlier ones end after their present step.
+    latest: Cell<u64>,
+}
+
 /// Moves runs off an engine until it has shut down.
 pub(crate) async fn drain_engine(gateway: Rc<Gateway>, leaving: LeavingEndpoint) {
+    let endpoint = leaving.endpoint.clone();
+    let turn = {
+        let mut drains = gateway.drains.borrow_mut();
+        Rc::clone(drains.entry(endpoint.clone()).or_default())
+    };
+    let number = turn.latest.get() + 1;
+    turn.latest.set(number);
+    let _turn = turn.lock.lock().await;
+    drain_in_turn(Rc::clone(&gateway), leaving, || turn.latest.get() == number).await;
+    if turn.latest.get() == number {
+        gateway.drains.borrow_mut().remove(&endpoint);
+    }
+}
+
+/// Moves runs off an engine until it has shut down or another drain of it waits.
+async fn drain_in_turn(
+    gateway: Rc<Gateway>,
+    leaving: LeavingEndpoint,
+    is_latest: impl Fn() -> bool,
+) {
     let mut drain = EngineDrain {
         plan: MigrationPlanner::new(leaving.terminates_at),
         link_lock: gateway.link_lock(leaving.address),
@@ -41,7 +71,9 @@
         leaving,
         rejected_by: BTreeMap::new(),
     };
-    while let Some(terminates_at) = drain.terminates_at() {
+    while is_latest()
+        && let Some(terminates_at) = drain.terminates_at()
+    {
         let now = drain.gateway.now();
         if (terminates_at + EXIT_GRACE).has_passed(now) {
             break;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,7 +25,7 @@
 use crate::attempt::Job;
 use crate::backups::{Backup, BackupPlanners};
 use crate::control::Update;
-use crate::drain;
+use crate::drain::{self, DrainTurn};
 use crate::endpoints::EndpointClient;
 use crate::link_lock::LinkLock;
 use crate::metrics::GatewayMetrics;
@@ -137,6 +137,8 @@
     dispatch_due: Cell<Option<Time>>,
     wake: Rc<Wake>,
     pub(crate) runs: Rc<Runs>,
+    /// The drains of engines that leave.
+    pub(crate) drains: RefCell<HashMap<EndpointId, Rc<DrainTurn>>>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     pub(crate) backup_planners: BackupPlanners,
     pub(crate) poison: PoisonTracker,
@@ -259,6 +261,7 @@
             dispatch_due: Cell::default(),
             wake: Rc::default(),
             runs: Rc::default(),
+            drains: RefCell::default(),
             budgets: RefCell::default(),
             backup_planners: RefCell::default(),
             poison: PoisonTracker::default(),
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -7,7 +7,7 @@
 
 use lentil_core::{EndpointId, ServiceName, Span, Time, TokenCount};
 use lentil_fleet::PlacedRequest;
-use lentil_handoff::RunStatus;
+use lentil_handoff::{OrderOutcome, RunStatus};
 use lentil_rollout::Version;
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::error::TryRecvError;
@@ -78,13 +78,18 @@
         }
     }
 
-    /// Returns whether the order may have stopped the run, if its outcome is known and says
-    /// no more than that.
+    /// Returns whether another order may replace this one only as unsettled.
     fn is_unsettled(&mut self) -> bool {
-        match self.outcome.try_recv() {
-            Ok(Continuation::Unsettled) | Err(TryRecvError::Closed) => true,
-            Ok(_) | Err(TryRecvError::Empty) => self.follows_unsettled,
-        }
+        let outcome = match self.outcome.try_recv() {
+            Ok(Continuation::FromCopy { .. } | Continuation::AtSource { .. }) => {
+                OrderOutcome::Stopped
+            }
+            Ok(Continuation::Ended { .. }) => OrderOutcome::NoSuchRun,
+            Ok(Continuation::NotStopped) => OrderOutcome::NotCarriedOut,
+            Ok(Continuation::Unsettled) | Err(TryRecvError::Closed) => OrderOutcome::Unknown,
+            Err(TryRecvError::Empty) => OrderOutcome::InFlight,
+        };
+        self.follows_unsettled || outcome.is_unsettled_if_replaced()
     }
 }
 
--- a/crates/handoff/src/ended_body.rs
+++ b/crates/handoff/src/ended_body.rs
@@ -42,6 +42,30 @@
     Unsettled,
 }
 
+/// What is known of one order to stop a generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It has no answer yet.
+    InFlight,
+    /// The engine has stopped the generation and keeps or has copied its memory.
+    Stopped,
+    /// The engine says that it has no such generation.
+    NoSuchRun,
+    /// The engine has not carried it out.
+    NotCarriedOut,
+    /// Its answer is missing or says neither.
+    Unknown,
+}
+
+impl OrderOutcome {
+    /// Whether the order may have stopped the generation once another one takes its place. The
+    /// answer to the later order then proves nothing about the earlier one.
+    #[must_use]
+    pub const fn is_unsettled_if_replaced(self) -> bool {
+        !matches!(self, Self::NoSuchRun | Self::NotCarriedOut)
+    }
+}
+
 /// The end of a response body, without an error of its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EndedBody {
--- a/crates/handoff/src/lib.rs
+++ b/crates/handoff/src/lib.rs
@@ -24,5 +24,5 @@
 mod migration_planner;
 
 pub use backup_planner::{BackupCandidate, BackupPlanner, BackupRequest};
-pub use ended_body::{BodyFraming, Doubt, EndedBody, StopOrder};
+pub use ended_body::{BodyFraming, Doubt, EndedBody, OrderOutcome, StopOrder};
 pub use migration_planner::{Action, MigrationPlanner, RunStatus};
--- a/crates/handoff/tests/it/ended_body.rs
+++ b/crates/handoff/tests/it/ended_body.rs
@@ -1,7 +1,7 @@
 //! What the end of a stream's body proves.
 
 use lentil_core::{Span, Time};
-use lentil_handoff::{BodyFraming, Doubt, EndedBody, StopOrder};
+use lentil_handoff::{BodyFraming, Doubt, EndedBody, OrderOutcome, StopOrder};
 
 fn ms(ms: u64) -> Time {
     Time::ZERO + Span::from_ms(ms)
@@ -34,6 +34,18 @@
     );
 }
 
+/// Guards against an order that is replaced before its answer arrives and then counts as not
+/// carried out.
+#[test]
+fn replaced_order() {
+    let unsettled = |outcome: OrderOutcome| outcome.is_unsettled_if_replaced();
+    assert!(unsettled(OrderOutcome::InFlight));
+    assert!(unsettled(OrderOutcome::Stopped));
+    assert!(unsettled(OrderOutcome::Unknown));
+    assert!(!unsettled(OrderOutcome::NoSuchRun));
+    assert!(!unsettled(OrderOutcome::NotCarriedOut));
+}
+
 /// Guards against an answer that its endpoint stopped at the time budget and that passes for a
 /// complete one, also where the end arrives a little before the budget is over.
 #[test]
--- a/crates/lentiltray/tests/it/stopped_streams.rs
+++ b/crates/lentiltray/tests/it/stopped_streams.rs
@@ -20,6 +20,12 @@
 /// Time until an engine closes a stream that it has stopped: longer than the gateway waits
 /// before it repeats an order.
 const CLOSING_DELAY: Duration = Duration::from_millis(400);
+/// Longest wait for a second order beside one that has no answer yet.
+const SECOND_ORDER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time from the end of a stream until an order to stop it is answered.
+const ANSWER_AFTER_END: Duration = Duration::from_millis(2_000);
+/// Events of a run that goes on until an earlier order takes effect.
+const EVENTS_BEFORE_EFFECT: usize = 10;
 /// Number of events in a complete stream.
 const EVENTS: usize = 60;
 
@@ -34,6 +40,14 @@
     StopsAndRefuses,
     /// It stops the run and refuses with a handle, and closes the stream only later.
     KeepsCopy,
+    /// It stops the run, and answers neither this order nor ends the stream before a second
+    /// order, which it refuses as one beside the first.
+    AnswersSecondOnly,
+    /// It does not answer a first order and stops the run by a second one, from which the run
+    /// goes on. Then the first order takes effect too.
+    FirstTakesEffectLate,
+    /// It ends the stream, which comes in chunks, before it answers that it has no such run.
+    EndsBeforeAnswer,
     /// It keeps the run, as another copy of it is in progress.
     Busy,
     /// It says that the run has ended.
@@ -60,6 +74,8 @@
     leaving: AtomicBool,
     stopped: AtomicBool,
     stop_orders: AtomicUsize,
+    /// Whether a stream has ended.
+    ended: AtomicBool,
 }
 
 impl Engine {
@@ -70,6 +86,7 @@
             leaving: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
             stop_orders: AtomicUsize::new(0),
+            ended: AtomicBool::new(false),
         });
         let handler = Arc::clone(&engine);
         let replica = Replica::start(name, move |request, stream| match request.target.as_str() {
@@ -90,8 +107,25 @@
             let copied = response_with_length(200, "", br#"{"handle":"h1","created":3}"#);
             return write_response(stream, &copied);
         }
-        let is_first = self.stop_orders.fetch_add(1, Ordering::SeqCst) == 0;
-        let stops = !matches!(self.result, OrderResult::Busy | OrderResult::NoSuchRun);
+        let earlier_orders = self.stop_orders.fetch_add(1, Ordering::SeqCst);
+        let is_first = earlier_orders == 0;
+        let stops = match self.result {
+            OrderResult::Busy | OrderResult::NoSuchRun | OrderResult::EndsBeforeAnswer => false,
+            OrderResult::FirstTakesEffectLate => earlier_orders > 0,
+            _ => true,
+        };
+        if self.result == OrderResult::FirstTakesEffectLate {
+            self.stopped.store(stops, Ordering::SeqCst);
+            let answer = match earlier_orders {
+                0 => return ConnectionAction::Close,
+                1 => response_with_length(503, "", br#"{"handle":"h2"}"#),
+                _ => response_with_length(409, "", b"{}"),
+            };
+            return write_response(stream, &answer);
+        }
+        if !is_first && self.result == OrderResult::AnswersSecondOnly {
+            return write_response(stream, &response_with_length(409, "", b"{}"));
+        }
         if stops && !is_first {
             return write_response(stream, &response_with_length(404, "", b"{}"));
         }
@@ -102,30 +136,66 @@
                 std::thread::sleep(Duration::from_secs(4));
                 (200, r#"{"handle":"h1","created":3}"#)
             }
+            OrderResult::AnswersSecondOnly => {
+                self.wait_for_second_order();
+                std::thread::sleep(CLOSING_DELAY);
+                return ConnectionAction::Close;
+            }
             OrderResult::StopsAndRefuses => (503, "{}"),
             OrderResult::KeepsCopy => (503, r#"{"handle":"h2"}"#),
-            OrderResult::Busy => (409, "{}"),
+            OrderResult::EndsBeforeAnswer => {
+                while !self.ended.load(Ordering::SeqCst) {
+                    std::thread::sleep(Duration::from_millis(5));
+                }
+                std::thread::sleep(ANSWER_AFTER_END);
+                (404, "{}")
+            }
+            OrderResult::FirstTakesEffectLate | OrderResult::Busy => (409, "{}"),
             OrderResult::NoSuchRun => (404, "{}"),
         };
         write_response(stream, &response_with_length(status, "", body.as_bytes()))
     }
 
+    /// Waits for a second order to stop a run, for as long as two drains would take to give it.
+    fn wait_for_second_order(&self) {
+        let until = Instant::now() + SECOND_ORDER_TIMEOUT;
+        while self.stop_orders.load(Ordering::SeqCst) < 2 && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        std::thread::sleep(EVENT_GAP * 2);
+    }
+
     fn generate(&self, request: &Request, stream: &mut TcpStream) -> ConnectionAction {
-        let head = Framing::Neither.head(200, &signature_headers(request), 0);
+        let framing = if self.result == OrderResult::EndsBeforeAnswer {
+            Framing::Chunks
+        } else {
+            Framing::Neither
+        };
+        let head = framing.head(200, &signature_headers(request), 0);
         write_response(stream, &head);
         let last = request.header("last-event-id");
         let first = last.map_or(1, |last| last.parse::<usize>().unwrap() + 1);
         let goes_on = request.header("kv-from").is_some();
         for number in first..=EVENTS {
             if self.stopped.load(Ordering::SeqCst) && !goes_on {
-                if self.result == OrderResult::KeepsCopy {
-                    std::thread::sleep(CLOSING_DELAY);
+                match self.result {
+                    OrderResult::KeepsCopy => std::thread::sleep(CLOSING_DELAY),
+                    OrderResult::AnswersSecondOnly => self.wait_for_second_order(),
+                    _ => {}
                 }
                 break;
             }
-            write_response(stream, event(number).as_bytes());
+            let is_late = self.result == OrderResult::FirstTakesEffectLate && goes_on;
+            if is_late && number >= first + EVENTS_BEFORE_EFFECT {
+                break;
+            }
+            write_response(stream, &framing.part(&event(number)));
             std::thread::sleep(EVENT_GAP);
         }
+        if framing == Framing::Chunks {
+            write_response(stream, b"0\r\n\r\n");
+        }
+        self.ended.store(true, Ordering::SeqCst);
         ConnectionAction::Close
     }
 }
@@ -216,6 +286,43 @@
     ));
 }
 
+/// A part of a stream ended as complete: while the answer to its order was outstanding, its
+/// engine's record came back and was removed once more, and the engine refused the order of a
+/// second drain.
+#[test]
+fn engine_leaves_again() {
+    let result = OrderResult::AnswersSecondOnly;
+    let (engine, replica) = Engine::start("i-1", result, 0);
+    let (_, other) = Engine::start("i-2", result, 0);
+    let site = Site::start("leaves_again", &[(&replica, "writers")]);
+    let mut connection = site.connect();
+    let head = request_head("/report/a", "r1", "").replace("2500", "9000");
+    let caller = std::thread::spawn(move || {
+        connection.send(&head, "hello");
+        connection.receive().unwrap()
+    });
+    wait_until("the engine has the request", || {
+        !replica.requests().is_empty()
+    });
+    site.register_endpoint(&other, "writers", "ready");
+    site.gateway.wait_for_line("endpoint joined");
+    let remove = || {
+        site.store.put("keyed.servers", &replica.name, None);
+        site.gateway.wait_for_line("endpoint leaves");
+    };
+    remove();
+    wait_until("the engine has the order", || {
+        engine.stop_orders.load(Ordering::SeqCst) > 0
+    });
+    site.register_endpoint(&replica, "writers", "ready");
+    site.gateway.wait_for_line("endpoint joined");
+    remove();
+    let response = caller.join().unwrap();
+    assert!(full_stream().starts_with(&response.body));
+    assert_ne!(response.body, full_stream());
+    assert!(!response.complete, "{response:?}");
+}
+
 /// A stream that may be resumed goes on at another engine after such an order.
 #[test]
 fn resumable_stream_goes_on() {
@@ -250,12 +357,21 @@
 
 /// Writes a part of an answer without a length, and closes the connection at the time budget.
 fn stop_at_budget(request: &Request, stream: &mut TcpStream) -> ConnectionAction {
+    stop_status_at_budget(200, request, stream)
+}
+
+/// The same with this status.
+fn stop_status_at_budget(
+    status: u16,
+    request: &Request,
+    stream: &mut TcpStream,
+) -> ConnectionAction {
     let Some(budget_ms) = request.header("deadline-ms") else {
         return write_response(stream, &response_with_length(404, "", b""));
     };
     let budget_ms = budget_ms.parse().unwrap();
     let ends_at = Instant::now() + Duration::from_millis(budget_ms);
-    let head = Framing::Neither.head(200, &signature_headers(request), 0);
+    let head = Framing::Neither.head(status, &signature_headers(request), 0);
     write_response(stream, &head);
     let mut number = 0;
     while Instant::now() + EVENT_GAP < ends_at {
