Keep the mark of an unsettled order while the run stays at its engine

Callers got a part of a stream as complete: an order's answer was lost, a later order stopped the run, which went on at the same engine from the memory kept there, and then the first order took effect. The cause: the mark was part of the latest order and was lost with it. It is now kept with the run, and cleared only when the run goes on at another engine, which the orders were not given to. Evidence: stopped_streams::earlier_order_takes_effect fails before (complete after a part, trail "not carried out") and holds now. Price: a whole stream without length or chunks that ends at such an engine is broken off.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -438,6 +438,9 @@
             .gateway
             .ended_body(&self.job, &self.permit, self.framing);
         self.note_termination(end.ended_at);
+        if self.run_guard.run.is_unsettled() {
+            end.stop_order = StopOrder::Unsettled;
+        }
         if let Some(switch) = self.run_guard.run.take_switch() {
             let outcome = tokio::time::timeout(CONTINUATION_TIMEOUT, switch.outcome()).await;
             let outcome = outcome.unwrap_or(Continuation::Unsettled);
--- a/crates/gateway/src/runs.rs
+++ b/crates/gateway/src/runs.rs
@@ -115,6 +115,8 @@
     /// The engine that receives copies of it.
     pub(crate) backup: RefCell<Option<Backup>>,
     switch: RefCell<Option<Switch>>,
+    /// Whether an order to its present engine may yet stop it, though a later one was settled.
+    unsettled: Cell<bool>,
     /// Whether its engine has stopped it, and it has not continued yet.
     pub(crate) stopped: Cell<bool>,
 }
@@ -125,10 +127,12 @@
     pub(crate) fn prepare_switch(&self) -> oneshot::Sender<Continuation> {
         let (sender, outcome) = oneshot::channel();
         let earlier = self.switch.take();
-        let follows_unsettled = earlier.is_some_and(|mut switch| switch.is_unsettled());
+        if earlier.is_some_and(|mut switch| switch.is_unsettled()) {
+            self.unsettled.set(true);
+        }
         self.switch.replace(Some(Switch {
             outcome,
-            follows_unsettled,
+            follows_unsettled: self.unsettled.get(),
         }));
         sender
     }
@@ -141,6 +145,12 @@
     /// Forgets orders to an engine that no longer has the run.
     pub(crate) fn clear_switch(&self) {
         self.switch.take();
+        self.unsettled.set(false);
+    }
+
+    /// Returns whether a replaced order to its present engine may have stopped it.
+    pub(crate) fn is_unsettled(&self) -> bool {
+        self.unsettled.get()
     }
 
     /// Its status for the planner of moves.
@@ -217,6 +227,7 @@
             tokens_since_first: Cell::default(),
             backup: RefCell::default(),
             switch: RefCell::default(),
+            unsettled: Cell::default(),
             stopped: Cell::default(),
         });
         self.table.borrow_mut().insert(key, Rc::clone(&run));
--- a/crates/lentiltray/tests/it/stopped_streams.rs
+++ b/crates/lentiltray/tests/it/stopped_streams.rs
@@ -323,6 +323,19 @@
     assert!(!response.complete, "{response:?}");
 }
 
+/// A part of a stream ended as complete: an order whose answer was lost took effect after the
+/// run had gone on at the same engine from the memory that a later order made it keep.
+#[test]
+fn earlier_order_takes_effect() {
+    let result = OrderResult::FirstTakesEffectLate;
+    assert_broken_off(&stream_from_leaving_engine(
+        "earlier_order",
+        "/report/a",
+        result,
+        6_000,
+    ));
+}
+
 /// A stream that may be resumed goes on at another engine after such an order.
 #[test]
 fn resumable_stream_goes_on() {
