Move a run again after its target has refused to continue it

Callers lost a stream with its leaving engine though there was time and another engine had room: the engine had stopped the run and copied its memory, the target refused, and the run went on at its source. The cause: the drain counted the run as migrated with the answer to the order. It now counts the target as one that rejected the run; that has an effect only if the run is at its source again. While it is stopped, no order is given (`Run::stopped`); a run that goes on elsewhere is no longer at this engine. Evidence: ordered_stops::moved_after_refusal fails before (the stream ends with the notice) and holds now. moved_streams::target_changes_in_stop asserted one stop and no request at the third engine. The run now moves on to it, as it has the run's version: two stops, one request there. As before, the engine whose version has changed gets none, and the stream is whole.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -261,7 +261,10 @@
                     source: self.leaving.address,
                     handle: completed.handle,
                 };
-                self.plan.record_migrated(run.key);
+                // Should the target not continue the run, it goes on at its source, and moves
+                // again to another engine.
+                self.rejected_by.entry(run.key).or_default().push(endpoint);
+                self.plan.record_failure(now, run.key);
                 run.stopped.set(true);
                 let permit = Box::new(permit);
                 drop(continuation.send(Continuation::FromCopy { permit, kv_copy }));
