Release the copy of an order whose answer comes too late

Engines kept memory for nothing, and a run that had gone on elsewhere was not moved by later drains: the outcome of an order came after the relay had given it up, and the drain still marked the run as stopped. The run now counts as stopped only if its relay takes the outcome; else the copy is released. Evidence: ordered_stops::late_copy_is_released fails before (no release at the source) and holds now. That a later drain moves the run has no test of its own.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -10,6 +10,7 @@
     GenerationSize, LeavingEndpoint, PlacementRequest, VersionNeed, ZonePreference,
 };
 use lentil_handoff::{Action, MigrationPlanner, RunStatus};
+use tokio::sync::oneshot;
 
 use crate::endpoints::{CopyError, CopyRequest, KvCopy};
 use crate::gateway::{Gateway, Permit};
@@ -243,7 +244,7 @@
             let endpoint = &permit.place.endpoint;
             log::info!(request:% = run.request, to:% = endpoint; "run not moved, as the target engine has changed");
             self.plan.record_failure(self.gateway.now(), run.key);
-            self.release_copy(permit, copy);
+            self.release_copy(Some(permit), copy);
             return;
         }
         let request = self.copy_request(run, &permit, true);
@@ -265,14 +266,14 @@
                 // again to another engine.
                 self.rejected_by.entry(run.key).or_default().push(endpoint);
                 self.plan.record_failure(now, run.key);
-                run.stopped.set(true);
                 let permit = Box::new(permit);
-                drop(continuation.send(Continuation::FromCopy { permit, kv_copy }));
+                let outcome = Continuation::FromCopy { permit, kv_copy };
+                self.continue_stopped(run, continuation, outcome);
             }
             Err(CopyError::RunNotFound) => {
                 self.plan.record_migrated(run.key);
                 drop(continuation.send(Continuation::Ended { answered_at: now }));
-                self.release_copy(permit, copy);
+                self.release_copy(Some(permit), copy);
             }
             Err(error) => {
                 self.gateway.metrics.count_move("switch_failed");
@@ -285,16 +286,40 @@
                 // Releasing a handle frees everything that the source keeps under it.
                 let copy = copy.filter(|copy| retained.as_ref() != Some(copy));
                 let outcome = match retained {
-                    Some(kv_copy) => {
-                        run.stopped.set(true);
-                        Continuation::AtSource { kv_copy }
-                    }
+                    Some(kv_copy) => Continuation::AtSource { kv_copy },
                     None if not_carried_out => Continuation::NotStopped,
                     None => Continuation::Unsettled,
                 };
-                drop(continuation.send(outcome));
-                self.release_copy(permit, copy);
+                self.continue_stopped(run, continuation, outcome);
+                self.release_copy(Some(permit), copy);
+            }
+        }
+    }
+
+    /// Tells the relay what came of an order. If it no longer waits for that, the run has ended
+    /// or goes on elsewhere, and its memory is released.
+    fn continue_stopped(
+        &self,
+        run: &Run,
+        relay: oneshot::Sender<Continuation>,
+        outcome: Continuation,
+    ) {
+        let stops = matches!(
+            outcome,
+            Continuation::FromCopy { .. } | Continuation::AtSource { .. }
+        );
+        let Err(untaken) = relay.send(outcome) else {
+            if stops {
+                run.stopped.set(true);
+            }
+            return;
+        };
+        match untaken {
+            Continuation::FromCopy { permit, kv_copy } => {
+                self.release_copy(Some(*permit), Some(kv_copy));
             }
+            Continuation::AtSource { kv_copy } => self.release_copy(None, Some(kv_copy)),
+            Continuation::Ended { .. } | Continuation::NotStopped | Continuation::Unsettled => {}
         }
     }
 
@@ -312,8 +337,8 @@
         }
     }
 
-    /// Releases an unused copy.
-    fn release_copy(&self, permit: Permit, copy: Option<KvCopy>) {
+    /// Releases an unused copy, and then the capacity that was reserved for it, if any.
+    fn release_copy(&self, permit: Option<Permit>, copy: Option<KvCopy>) {
         let Some(kv_copy) = copy else {
             return;
         };
--- a/crates/lentiltray/tests/it/ordered_stops.rs
+++ b/crates/lentiltray/tests/it/ordered_stops.rs
@@ -493,6 +493,19 @@
     assert_broken_off(&stop_run("stop_denied", "/report/a", plan));
 }
 
+/// Guards against a copy that its engine keeps in vain: its order was answered after the gateway
+/// had given it up, and the run had begun again elsewhere.
+#[test]
+fn late_copy_is_released() {
+    let plan = Plan {
+        answer: OrderAnswer::Copied(LATE_ANSWER_DELAY),
+        ..copied(OnContinue::Accepts, OnContinue::Accepts)
+    };
+    let run = stop_run("late_copy_released", "/note/a", plan);
+    assert_whole(&run);
+    assert!(run.releases > 0, "{}", run.trail);
+}
+
 /// Guards against a run that stays at an engine that leaves, and is lost with it, after the first
 /// target has refused to continue it and another one has room.
 #[test]
