Check answers other than success on stream routes for completeness

Callers got a part of an answer without length or chunks as whole if its status was no success and its engine stopped at the time budget. The cause: such answers were collected without the check that the buffered path makes for all statuses. Now the same check refuses them. Evidence: stopped_streams::failure_stopped_at_budget fails before (422 with a part of the body) and holds now.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -149,6 +149,10 @@
             .collect(reply.body)
             .await
             .map_err(|_| job.refuse(RefusalReason::EndpointFailed, None))?;
+        let end = gateway.ended_body(&job, &permit, reply.framing);
+        if !job.check_complete(&end) {
+            return Err(job.refuse(RefusalReason::EndpointFailed, None));
+        }
         gateway.metrics.count_request("answered");
         job.log_outcome(&gateway, status.as_str());
         let body = ResponseBody::from(body);
--- a/crates/lentiltray/tests/it/stopped_streams.rs
+++ b/crates/lentiltray/tests/it/stopped_streams.rs
@@ -414,6 +414,20 @@
     check_stopped_at_budget("stream_budget", "writers", "/report/a");
 }
 
+/// The same for an answer other than a success.
+#[test]
+fn failure_stopped_at_budget() {
+    let endpoint = Replica::start("i-1", |request, stream| {
+        stop_status_at_budget(422, request, stream)
+    });
+    let site = Site::start("failure_budget", &[(&endpoint, "writers")]);
+    let mut connection = site.connect();
+    let head = request_head("/report/a", "r1", "").replace("2500", "1000");
+    connection.send(&head, "hello");
+    let response = connection.receive().unwrap();
+    assert_ne!(response.status, 422, "{response:?}");
+}
+
 /// The same for an answer of a plain service.
 #[test]
 fn answer_stopped_at_budget() {
