--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -442,6 +442,11 @@
             .gateway
             .ended_body(&self.job, &self.permit, self.framing);
         self.note_termination(end.ended_at);
+        // An engine closes a stream that it has stopped without its end, which shows here.
+        if cut == Cut::None && self.framing == BodyFraming::Delimited {
+            self.run_guard.run.clear_switch();
+            return BodyEnd::Complete;
+        }
         if self.run_guard.run.is_unsettled() {
             end.stop_order = StopOrder::Unsettled;
         }
--- a/crates/lentiltray/tests/it/stopped_streams.rs
+++ b/crates/lentiltray/tests/it/stopped_streams.rs
@@ -336,6 +336,38 @@
     ));
 }
 
+/// The caller of a stream in chunks waited for the answer to an order to stop it, though the
+/// end of the chunks shows that it was not stopped.
+#[test]
+fn chunks_end_before_answer() {
+    let result = OrderResult::EndsBeforeAnswer;
+    let (engine, replica) = Engine::start("i-1", result, 6_000);
+    let (_, other) = Engine::start("i-2", result, 6_000);
+    let site = Site::start("chunks_end", &[(&replica, "writers")]);
+    let mut connection = site.connect();
+    let head = request_head("/report/a", "r1", "").replace("2500", "9000");
+    let caller = std::thread::spawn(move || {
+        connection.send(&head, "hello");
+        connection.receive().unwrap()
+    });
+    wait_until("the engine has the request", || {
+        !replica.requests().is_empty()
+    });
+    site.register_endpoint(&other, "writers", "ready");
+    site.gateway.wait_for_line("endpoint joined");
+    engine.leaving.store(true, Ordering::SeqCst);
+    wait_until("the stream has ended", || {
+        engine.ended.load(Ordering::SeqCst)
+    });
+    let ended_at = Instant::now();
+    let response = caller.join().unwrap();
+    let waited = ended_at.elapsed();
+    assert!(engine.stop_orders.load(Ordering::SeqCst) > 0);
+    assert_eq!(response.body, full_stream());
+    assert!(response.complete);
+    assert!(waited < ANSWER_AFTER_END / 2, "{waited:?}");
+}
+
 /// A stream that may be resumed goes on at another engine after such an order.
 #[test]
 fn resumable_stream_goes_on() {
