--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -20,9 +20,10 @@
 use crate::status_log::WriteOutcome;
 use crate::store_feed::StoreError;
 
-/// Shortest interval between two appends of a gateway, and its growth with each gateway. All
-/// gateways together append at most 200 times a second.
+/// Shortest interval between two appends of a gateway.
 const APPEND_INTERVAL_MIN: Span = Span::from_ms(10);
+/// Growth of that interval with each gateway, so that all together append at most 200 times a
+/// second.
 const APPEND_INTERVAL_PER_GATEWAY: Span = Span::from_ms(5);
 /// Longest interval between two appends, which delays the first events of streams.
 const APPEND_INTERVAL_MAX: Span = Span::from_ms(250);
@@ -56,7 +57,7 @@
 #[derive(Debug)]
 struct PendingRecord {
     record: StreamRecord,
-    appended: Option<oneshot::Sender<()>>,
+    appended: oneshot::Sender<()>,
 }
 
 /// The streams of a gateway and the versions that began them.
@@ -148,7 +149,7 @@
         }
         pending.push_back(PendingRecord {
             record,
-            appended: Some(sender),
+            appended: sender,
         });
         self.appends_due.notify_one();
         appended
@@ -167,10 +168,9 @@
                 if self.failing.replace(false) {
                     log::info!("the versions of streams are recorded again");
                 }
-                let waiting = batch.into_iter().filter_map(|it| it.appended);
-                for appended in waiting {
+                for pending in batch {
                     // A stream that has waited for too long goes on without.
-                    let _ = appended.send(());
+                    let _ = pending.appended.send(());
                 }
                 true
             }
