Show that gateways miss changes after the store has come back from an older copy

The fake store learns eras: it can close all connections, drop the end of a topic and state a new Store-Era. Reads from beyond the end get 410, as the platform's pages say. Where the log is as long as before when it is first read again, the gateway reads on from its old offset and misses what was written below it.

--- a/crates/lentiltray/tests/it/fake_store.rs
+++ b/crates/lentiltray/tests/it/fake_store.rs
@@ -22,6 +22,8 @@
     Refusing(u16),
     /// It serves this many further reads of operators' orders, then no request.
     OrderReads(usize),
+    /// It closes connections, also those of reads that wait for records.
+    Closing,
 }
 
 /// What becomes of calls that fail.
@@ -72,6 +74,9 @@
     appended_raw: usize,
     /// The same of keyed records, without [`PLATFORM_TOPICS`].
     appended_keyed: usize,
+    /// The header of all responses that rises when the store comes back from an older copy; a
+    /// store without one does not send it.
+    era: Option<String>,
 }
 
 /// A running fake store.
@@ -82,7 +87,10 @@
 
 impl Store {
     pub(crate) fn start() -> Self {
-        let state = Arc::new(Mutex::new(State::default()));
+        let state = Arc::new(Mutex::new(State {
+            era: Some("1".to_owned()),
+            ..State::default()
+        }));
         let handler = {
             let state = Arc::clone(&state);
             move |request: &Request, stream: &mut TcpStream| serve(&state, request, stream)
@@ -97,6 +105,25 @@
         self.server.address
     }
 
+    /// Sets the era that all responses state; `None` stands for a store without eras.
+    pub(crate) fn set_era(&self, era: Option<&str>) {
+        self.state.lock().unwrap().era = era.map(str::to_owned);
+    }
+
+    /// Number of records of a topic.
+    pub(crate) fn end(&self, topic: &str) -> usize {
+        let state = self.state.lock().unwrap();
+        let topic = state.topics.get(topic);
+        topic.map_or(0, |topic| topic.records.len())
+    }
+
+    /// Removes the records of a topic from `end` on, as in an older copy of the store.
+    pub(crate) fn truncate(&self, topic: &str, end: usize) {
+        let mut state = self.state.lock().unwrap();
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        topic.records.truncate(end);
+    }
+
     pub(crate) fn set_mode(&self, mode: StoreMode) {
         self.state.lock().unwrap().mode = mode;
     }
@@ -227,6 +254,7 @@
         None => {}
     }
     let bytes = match mode {
+        StoreMode::Closing => return ConnectionAction::Close,
         StoreMode::Silent | StoreMode::OrderReads(0) => {
             std::thread::sleep(Duration::from_secs(30));
             return ConnectionAction::Close;
@@ -234,11 +262,31 @@
         StoreMode::Refusing(status) => response_with_length(status, "", b""),
         StoreMode::Serving | StoreMode::OrderReads(_) => store_response(state, request),
     };
-    if state.lock().unwrap().mode == StoreMode::Silent {
-        std::thread::sleep(Duration::from_secs(30));
-        return ConnectionAction::Close;
+    let (mode, era) = {
+        let state = state.lock().unwrap();
+        (state.mode, state.era.clone())
+    };
+    match mode {
+        StoreMode::Silent => {
+            std::thread::sleep(Duration::from_secs(30));
+            ConnectionAction::Close
+        }
+        StoreMode::Closing => ConnectionAction::Close,
+        StoreMode::Serving | StoreMode::Refusing(_) | StoreMode::OrderReads(_) => {
+            write_response(stream, &with_era(bytes, era.as_deref()))
+        }
     }
-    write_response(stream, &bytes)
+}
+
+/// Adds the era to the head of a response.
+fn with_era(response: Vec<u8>, era: Option<&str>) -> Vec<u8> {
+    let Some(era) = era else {
+        return response;
+    };
+    let head_end = response.iter().position(|byte| *byte == b'\n').unwrap() + 1;
+    let (status_line, rest) = response.split_at(head_end);
+    let header = format!("Store-Era: {era}\r\n");
+    [status_line, header.as_bytes(), rest].concat()
 }
 
 /// Returns what becomes of a call if it fails.
@@ -329,6 +377,8 @@
     let until = Instant::now() + Duration::from_millis(wait_ms);
     loop {
         let timed_out = Instant::now() >= until;
+        let is_closing = state.lock().unwrap().mode == StoreMode::Closing;
+        let timed_out = timed_out || is_closing;
         if let Some(bytes) = read_records(state, topic, from, max_kb * 1024, timed_out) {
             return bytes;
         }
@@ -364,7 +414,7 @@
     let topic = state.topics.entry(name.to_owned()).or_default();
     let is_keyed = name.starts_with(KEYED_PREFIX);
     let end = topic.records.len();
-    if from < topic.first {
+    if from < topic.first || from > end {
         let body = json!({"firstOffset": topic.first}).to_string();
         return Some(response_with_length(410, "", body.as_bytes()));
     }
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -50,6 +50,7 @@
 mod raw_grpc;
 mod report_age;
 mod request_floods;
+mod restored_store;
 mod rollout_evidence;
 mod rollout_orders;
 mod separate_processes;
