Keep what is known of endpoints when the store comes back from an older copy

An endpoint whose entry had been removed got requests again, as the older copy lists it, and one that had joined since got none until it wrote its entry again.

A record that may be one of the older copy makes no endpoint available unless it is newer than the known one: an endpoint that lives renews its record within a heartbeat. Endpoints that the copy misses are treated as those whose record expired during a failure of the store: they get requests until their records are due to be back, and then leave (lost_endpoint).

--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use confirmation::{ConfirmationError, ConfirmationOffset};
 pub use position::Position;
-pub use progress::{Continuity, OlderPage, ReadProgress};
+pub use progress::{Continuity, OlderPage, RESTORE_TIME, ReadProgress};
 pub use record::{KeyedRecord, LogTopic, RecordPage};
 pub use source::{ReadSource, SourceChooser};
 pub use timing::{
--- a/crates/feed/tests/it/topic_copy.rs
+++ b/crates/feed/tests/it/topic_copy.rs
@@ -115,8 +115,8 @@
 }
 
 impl Reader {
-    fn apply(&mut self, page: RecordPage) {
-        if let Err(older) = self.progress.record(&page) {
+    fn apply(&mut self, now: Time, page: RecordPage) {
+        if let Err(older) = self.progress.record(now, now, &page) {
             assert!(Some(older.page) < self.position, "{older}");
             return;
         }
@@ -174,7 +174,7 @@
         let mut relays = [TopicCache::default(), TopicCache::default()];
         let mut reader = Reader::default();
         let mut now = Time::from_us(1_000);
-        reader.apply(log.read(now, None));
+        reader.apply(now, log.read(now, None));
         for step in steps {
             now = now + Span::from_ms(20);
             match step {
@@ -189,14 +189,14 @@
                     let page = log.read(now, relays[relay].next());
                     relays[relay].apply(part(page, length)).unwrap();
                 }
-                Step::ReaderAsksRelay(relay) => match relays[relay].read(reader.progress.next()) {
-                    Ok(page) => reader.apply(page),
+                Step::ReaderAsksRelay(relay) => match relays[relay].read(reader.progress.next(now)) {
+                    Ok(page) => reader.apply(now, page),
                     Err(CacheError::NotLoaded) => prop_assert!(relays[relay].next().is_none()),
                     Err(error) => prop_assert!(reader.position > relays[relay].next(), "{error}"),
                 },
                 Step::ReaderAsksLog => {
-                    let page = log.read(now, reader.progress.next());
-                    reader.apply(page);
+                    let page = log.read(now, reader.progress.next(now));
+                    reader.apply(now, page);
                 }
             }
             let position = reader.position.unwrap();
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -283,6 +283,40 @@
         }
     }
 
+    /// Handles a record of the older copy that the platform's store has come back from. It may have
+    /// changed since, so that it makes no endpoint available: an endpoint that lives renews its
+    /// record.
+    pub fn apply_copied_record(&mut self, now: Time, record: EndpointRecord) -> Vec<FleetChange> {
+        let Some(known) = self.endpoints.get(&record.endpoint) else {
+            return Vec::new();
+        };
+        let is_renewed = record.sequence > known.record.sequence || known.is_succeeded_by(&record);
+        if known.availability == Availability::Available || record.draining || is_renewed {
+            return self.upsert_endpoint(now, record);
+        }
+        Vec::new()
+    }
+
+    /// Handles the list of a store that has come back from an older copy: endpoints other than
+    /// these may be missing because their records were lost. They get requests until these are
+    /// due to be back.
+    pub fn await_missing(&mut self, now: Time, ids: &BTreeSet<EndpointId>) -> Vec<FleetChange> {
+        let until = now + self.config.record_return;
+        let missing = self.endpoints.iter_mut().filter(|(id, endpoint)| {
+            endpoint.listed
+                && endpoint.availability == Availability::Available
+                && !ids.contains(*id)
+        });
+        missing
+            .map(|(id, endpoint)| {
+                endpoint.listed = false;
+                endpoint.availability = Availability::Unlisted { until };
+                let endpoint = id.clone();
+                FleetChange::Unlisted { endpoint, until }
+            })
+            .collect()
+    }
+
     /// Marks an endpoint that is no longer at its address as leaving immediately.
     pub fn mark_gone(&mut self, now: Time, id: &EndpointId) -> Option<FleetChange> {
         self.begin_leaving(now, id, Some(now), LeaveEvidence::AddressReused)
--- a/crates/fleet/tests/it/missing_records.rs
+++ b/crates/fleet/tests/it/missing_records.rs
@@ -314,3 +314,39 @@
     assert_eq!(fleet.upsert_endpoint(ms(40), draining), []);
     assert!(fleet.is_available(ms(40), &id(1)));
 }
+
+/// The store comes back from an older copy. Guards against endpoints that come back because the copy
+/// lists them, and endpoints that leave because it does not.
+#[test]
+fn records_of_older_copy() {
+    let mut fleet = fleet();
+    for number in 1..=3 {
+        fleet.upsert_endpoint(ms(0), record(number));
+    }
+    fleet.remove_endpoint(ms(10), &id(1));
+    let listed = BTreeSet::from([id(1), id(2), id(4)]);
+    for number in [1, 2, 4] {
+        let changes = fleet.apply_copied_record(ms(100), record(number));
+        assert!(changes.is_empty(), "{changes:?}");
+    }
+    let until = ms(100 + RECORD_RETURN_MS);
+    let unlisted = FleetChange::Unlisted {
+        endpoint: id(3),
+        until,
+    };
+    assert_eq!(fleet.await_missing(ms(100), &listed), [unlisted]);
+    let available = |fleet: &Fleet, now| {
+        let numbers = (1..=4).filter(|number| fleet.is_available(now, &id(*number)));
+        numbers.collect::<Vec<_>>()
+    };
+    assert_eq!(available(&fleet, ms(101)), [2, 3]);
+    let renewed = EndpointRecord {
+        sequence: record(1).sequence + 1,
+        ..record(1)
+    };
+    fleet.apply_copied_record(ms(200), renewed);
+    fleet.upsert_endpoint(ms(200), record(4));
+    assert_eq!(available(&fleet, ms(201)), [1, 2, 3, 4]);
+    fleet.tick(until);
+    assert_eq!(available(&fleet, until), [1, 2, 4]);
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -330,11 +330,16 @@
         else {
             continue;
         };
-        if changes.is_snapshot {
-            listed.clear();
-        }
+        let mut previous = if changes.is_snapshot && !changes.is_restored {
+            std::mem::take(&mut listed)
+        } else {
+            HashMap::new()
+        };
         for change in &changes.changes {
             match change {
+                EndpointChange::Copied(listing) => {
+                    listed.extend(previous.remove_entry(&listing.endpoint));
+                }
                 EndpointChange::Listed(listing) => {
                     let listed_engine = ListedEndpoint {
                         service: listing.service.clone(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -466,12 +466,18 @@
                                 listed_ids.insert(record.endpoint.clone());
                                 changes.extend(fleet.upsert_endpoint(now, record));
                             }
+                            EndpointChange::Copied(record) => {
+                                listed_ids.insert(record.endpoint.clone());
+                                changes.extend(fleet.apply_copied_record(now, record));
+                            }
                             EndpointChange::Unlisted(id) => {
                                 changes.extend(fleet.remove_endpoint(now, &id));
                             }
                         }
                     }
-                    if update.is_snapshot {
+                    if update.is_restored {
+                        changes.extend(fleet.await_missing(now, &listed_ids));
+                    } else if update.is_snapshot {
                         changes.extend(fleet.retain_only(now, &listed_ids));
                     }
                 }
--- a/crates/gateway/src/store_feed.rs
+++ b/crates/gateway/src/store_feed.rs
@@ -87,6 +87,8 @@
 pub enum EndpointChange {
     /// It was added or updated.
     Listed(EndpointRecord),
+    /// It is in the older copy that the store has come back from. It may have changed since.
+    Copied(EndpointRecord),
     /// It was removed.
     Unlisted(EndpointId),
 }
@@ -98,6 +100,9 @@
     pub changes: Vec<EndpointChange>,
     /// Whether the changes hold all existing entries.
     pub is_snapshot: bool,
+    /// Whether the store has just come back from an older copy: entries that are missing may be
+    /// written again.
+    pub is_restored: bool,
 }
 
 /// Changes from one feed of the store, and how old they are.
--- a/crates/lentiltray/tests/it/restored_store.rs
+++ b/crates/lentiltray/tests/it/restored_store.rs
@@ -16,6 +16,9 @@
 const REVOKE_MS: u64 = 30_000;
 /// Pause between two requests of a test.
 const REQUEST_PAUSE: Duration = Duration::from_millis(10);
+/// Time within which lost records are written again in the tests. It is shorter than the platform's
+/// pages allow.
+const WRITE_AGAIN_TIME: Duration = Duration::from_millis(1_200);
 /// Time after which records that were not written again no longer count.
 const RESTORED_TIME: Duration = Duration::from_millis(4_000);
 
@@ -233,6 +236,57 @@
     assert!(!statuses.contains(&200), "{statuses:?}");
 }
 
+/// An endpoint whose entry had been removed got requests again, as the older copy lists it.
+#[test]
+fn removed_endpoint() {
+    let mut restored = Restored::start("restored_removed", Reader::Gateway);
+    let removed = Replica::start("i-9", respond_ok);
+    restored.register(&removed, "ready");
+    restored.site().send_until_reached("/lookup/a", &removed);
+    restored.put("keyed.servers", "i-9", None);
+    restored.site().gateway.wait_for_line("endpoint leaves");
+    std::thread::sleep(RESTORED_TIME);
+    restored.restore("keyed.servers", 1, |_| {});
+    restored.wait_until_read();
+    let before = removed.requests().len();
+    restored.statuses(RESTORED_TIME);
+    assert_eq!(removed.requests().len(), before);
+}
+
+/// Starts a gateway whose only endpoint has joined since the copy from which the store comes back.
+fn lose_newest_endpoint(test: &str) -> (Restored, Replica) {
+    let mut restored = Restored::start(test, Reader::Gateway);
+    restored.put("keyed.servers", "i-2", None);
+    restored.site().gateway.wait_for_line("endpoint leaves");
+    let newest = Replica::start("i-9", respond_ok);
+    restored.register(&newest, "ready");
+    restored.site().send_until_reached("/lookup/a", &newest);
+    restored.restore("keyed.servers", 1, |_| {});
+    restored.wait_until_read();
+    (restored, newest)
+}
+
+/// An endpoint got no requests until its lost entry was written again.
+#[test]
+fn joined_endpoint() {
+    let (restored, newest) = lose_newest_endpoint("restored_joined");
+    let before = restored.statuses(WRITE_AGAIN_TIME);
+    restored.register(&newest, "ready");
+    let after = restored.statuses(RESTORED_TIME);
+    assert!(before.iter().all(|status| *status == 200), "{before:?}");
+    assert!(after.iter().all(|status| *status == 200), "{after:?}");
+}
+
+/// An endpoint that does not write its lost entry again got requests for ever.
+#[test]
+fn lost_endpoint() {
+    let (restored, _newest) = lose_newest_endpoint("restored_lost");
+    restored.site().gateway.wait_for_line("endpoint leaves");
+    wait_until("no request is served", || {
+        restored.status("/lookup/a", "r") == 503
+    });
+}
+
 /// The store came back from an older copy a second time while the first was being read.
 #[test]
 fn second_restore() {
