--- a/crates/lentiltray/tests/it/restored_store.rs
+++ b/crates/lentiltray/tests/it/restored_store.rs
@@ -236,6 +236,41 @@
     assert!(!statuses.contains(&200), "{statuses:?}");
 }
 
+/// Endpoints of an availability zone got requests again until the lost record of its evacuation was
+/// written again.
+#[test]
+fn evacuated_zone() {
+    let mut restored = Restored::start("restored_zone", Reader::Gateway);
+    let evacuation = json!({});
+    restored.put("keyed.op", "evacuate/z", Some(&evacuation));
+    let changed = "availability zones out of service changed";
+    restored.site().gateway.wait_for_line(changed);
+    restored.restore("keyed.op", 1, |_| {});
+    restored.wait_until_read();
+    let before = restored.statuses(WRITE_AGAIN_TIME);
+    restored.put("keyed.op", "evacuate/z", Some(&evacuation));
+    let after = restored.statuses(RESTORED_TIME);
+    assert!(!before.contains(&200), "{before:?}");
+    assert!(!after.contains(&200), "{after:?}");
+    restored.put("keyed.op", "evacuate/z", None);
+    wait_until("the zone serves", || {
+        restored.status("/lookup/a", "r") == 200
+    });
+}
+
+/// A zone whose evacuation is not written again stayed out of service.
+#[test]
+fn evacuation_forgotten() {
+    let mut restored = Restored::start("restored_forgotten", Reader::Gateway);
+    restored.put("keyed.op", "evacuate/z", Some(&json!({})));
+    let changed = "availability zones out of service changed";
+    restored.site().gateway.wait_for_line(changed);
+    restored.restore("keyed.op", 1, |_| {});
+    wait_until("the zone serves", || {
+        restored.status("/lookup/a", "r") == 200
+    });
+}
+
 /// An endpoint whose entry had been removed got requests again, as the older copy lists it.
 #[test]
 fn removed_endpoint() {
