Let an older copy of the store not confirm the configuration

A key was taken away right before the store went away, and no gateway had read it.

For 2 s after a reader has learned of the rise, answers confirm nothing; then the newest records are read once more, and the first confirmation from after that time counts, also through relays. The readers and relays of the operators' topic wait for 250 ms at most meanwhile. Without a confirmation the configuration is trusted for 96% of revoke_ms instead of 86%, counted from the last one: later than that a key could be served that was taken away, earlier callers would be refused after every restore.

The property reader_agrees_with_log checks confirmations against what writers had written, lost or not; it fails if the time is left out, or if the answer of a relay from before it counts.

--- a/crates/catalog/src/current_catalog.rs
+++ b/crates/catalog/src/current_catalog.rs
@@ -30,6 +30,8 @@
 pub struct CurrentCatalog {
     catalog: Option<Arc<Catalog>>,
     validity: Span,
+    /// When the store was asked that confirmed the catalog last.
+    confirmed_at: Time,
     valid_until: Time,
     /// Whether the store holds a newer catalog that this process can't use.
     superseded: bool,
@@ -43,6 +45,7 @@
         Self {
             catalog: None,
             validity,
+            confirmed_at: Time::ZERO,
             valid_until: Time::ZERO,
             superseded: false,
         }
@@ -76,9 +79,18 @@
         if self.superseded {
             return;
         }
+        self.confirmed_at = self.confirmed_at.max(requested_at);
         self.valid_until = self.valid_until.max(requested_at + self.validity);
     }
 
+    /// Extends the validity to this time after the last confirmation, for a while in which answers
+    /// of the store confirm nothing.
+    pub fn prolong(&mut self, validity: Span) {
+        if !self.superseded && self.confirmed_at > Time::ZERO {
+            self.valid_until = self.valid_until.max(self.confirmed_at + validity);
+        }
+    }
+
     /// The current version; 0 before the first catalog was read.
     #[must_use]
     pub fn version(&self) -> ConfigVersion {
--- a/crates/feed/src/progress.rs
+++ b/crates/feed/src/progress.rs
@@ -98,4 +98,11 @@
         }
         Ok(Continuity::Continued)
     }
+
+    /// When the log confirmed that nothing newer was written, according to a page that was recorded;
+    /// `None` while records that the store has lost may be missing.
+    #[must_use]
+    pub fn confirmed_at(&self, page: &RecordPage) -> Option<Time> {
+        page.confirmed_at.filter(|_| !self.is_restoring())
+    }
 }
--- a/crates/feed/src/timing.rs
+++ b/crates/feed/src/timing.rs
@@ -20,6 +20,9 @@
 
 /// Long-poll wait of a relay for the topics where records are rare.
 pub const RELAY_LOG_WAIT: Span = Span::from_ms(900);
+/// The same after the store has come back from an older copy, until readers have confirmations of
+/// what was written again.
+pub const RELAY_RESTORED_WAIT: Span = Span::from_ms(250);
 /// Pause of a relay between two reads of the endpoints' topic, where records are frequent.
 pub const RELAY_ENDPOINTS_PAUSE: Span = Span::from_ms(400);
 
--- a/crates/feed/tests/it/topic_copy.rs
+++ b/crates/feed/tests/it/topic_copy.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use lentil_core::{Offset, Span, StoreEra, Time};
 use lentil_feed::{
-    CacheError, KeyedRecord, LogTopic, Position, ReadProgress, RecordPage, TopicCache,
+    CacheError, KeyedRecord, LogTopic, Position, RESTORE_TIME, ReadProgress, RecordPage, TopicCache,
 };
 use proptest::prelude::*;
 
@@ -45,14 +45,21 @@
     }
 }
 
+/// The newest value of a key; `None` if it was deleted or never written.
+type Value = Option<u8>;
+
 /// The log: a list of records, of which the oldest may be deleted. It may come back from an older
-/// copy.
+/// copy; its writers then write again what it has lost.
 struct Log {
     era: u64,
     records: Vec<KeyedRecord>,
     first: usize,
     /// The newest records at each end of the log in each era.
     history: BTreeMap<(u64, usize), BTreeMap<String, KeyedRecord>>,
+    /// What was written at which time, by key, whether it was lost or not.
+    written: BTreeMap<u8, Vec<(Time, Value)>>,
+    /// Keys whose newest value was lost, and when it is written again at the latest.
+    lost: BTreeMap<u8, Time>,
 }
 
 impl Log {
@@ -62,10 +69,18 @@
             records: Vec::new(),
             first: 0,
             history: BTreeMap::from([((0, 0), BTreeMap::new())]),
+            written: BTreeMap::new(),
+            lost: BTreeMap::new(),
         }
     }
 
-    fn append(&mut self, key: u8, value: Option<u8>) {
+    fn write(&mut self, now: Time, key: u8, value: Value) {
+        self.written.entry(key).or_default().push((now, value));
+        self.append(key, value);
+    }
+
+    fn append(&mut self, key: u8, value: Value) {
+        self.lost.remove(&key);
         let offset = u64::try_from(self.records.len()).unwrap();
         self.records.push(record(offset, key, value));
         let end = (self.era, self.records.len());
@@ -73,12 +88,36 @@
     }
 
     /// Comes back without the last records.
-    fn restore(&mut self, lost: usize) {
+    fn restore(&mut self, now: Time, lost: usize) {
         let end = self.records.len().saturating_sub(lost);
         self.era += 1;
         self.records.truncate(end);
         self.first = self.first.min(end);
         self.history.insert((self.era, end), self.newest());
+        for (key, values) in &self.written {
+            let value = values.last().unwrap().1;
+            if self.value(*key) != value {
+                self.lost.insert(*key, now + RESTORE_TIME);
+            }
+        }
+    }
+
+    /// Writes lost values again: those that are due, or all.
+    fn write_again(&mut self, now: Time, all: bool) {
+        let due: Vec<u8> = self
+            .lost
+            .iter()
+            .filter(|(_, until)| all || until.has_passed(now))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in due {
+            let value = self.written[&key].last().unwrap().1;
+            self.append(key, value);
+        }
+    }
+
+    fn value(&self, key: u8) -> Value {
+        value_of(&self.newest(), key)
     }
 
     fn newest(&self) -> BTreeMap<String, KeyedRecord> {
@@ -104,6 +143,22 @@
             ..page(records, end, is_snapshot)
         }
     }
+
+    /// The values that a key had at this time or later.
+    fn values_since(&self, key: u8, since: Time) -> Vec<Value> {
+        let values = self.written.get(&key).map_or(&[][..], Vec::as_slice);
+        let mut before = values.iter().filter(|(at, _)| *at <= since);
+        let first = before.next_back().and_then(|(_, value)| *value);
+        let later = values.iter().filter(|(at, _)| *at > since);
+        std::iter::once(first)
+            .chain(later.map(|(_, value)| *value))
+            .collect()
+    }
+}
+
+fn value_of(newest: &BTreeMap<String, KeyedRecord>, key: u8) -> Value {
+    let record = newest.get(&format!("k{key}"))?;
+    record.value.as_ref().map(|value| value[0])
 }
 
 /// A reader of a topic, as a gateway is one.
@@ -112,14 +167,16 @@
     progress: ReadProgress,
     position: Option<Position>,
     newest: BTreeMap<String, KeyedRecord>,
+    confirmed_at: Option<Time>,
 }
 
 impl Reader {
-    fn apply(&mut self, now: Time, page: RecordPage) {
-        if let Err(older) = self.progress.record(now, now, &page) {
+    fn apply(&mut self, asked_at: Time, now: Time, page: RecordPage) {
+        if let Err(older) = self.progress.record(asked_at, now, &page) {
             assert!(Some(older.page) < self.position, "{older}");
             return;
         }
+        self.confirmed_at = self.confirmed_at.max(self.progress.confirmed_at(&page));
         self.position = Some(page.next);
         if page.is_snapshot {
             self.newest.clear();
@@ -139,10 +196,14 @@
     Append(u8, Option<u8>),
     DeleteHistory,
     Restore(usize),
+    WriteAgain,
     RelayReads(usize),
     RelayReadsPart(usize, usize),
     ReaderAsksRelay(usize),
     ReaderAsksLog,
+    /// The log answers the reader, and the answer arrives after this many milliseconds.
+    LogIsSlow(u64),
+    Wait(u64),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -151,11 +212,14 @@
             .prop_map(|(key, value)| Step::Append(key, value)),
         1 => Just(Step::DeleteHistory),
         1 => (0_usize..6).prop_map(Step::Restore),
+        1 => Just(Step::WriteAgain),
         3 => (0_usize..2).prop_map(Step::RelayReads),
         1 => (0_usize..2, 1_usize..4)
             .prop_map(|(relay, length)| Step::RelayReadsPart(relay, length)),
         3 => (0_usize..2).prop_map(Step::ReaderAsksRelay),
         1 => Just(Step::ReaderAsksLog),
+        1 => (1_u64..900).prop_map(Step::LogIsSlow),
+        1 => (100_u64..2_500).prop_map(Step::Wait),
     ]
 }
 
@@ -167,20 +231,23 @@
     })]
 
     /// The reader never goes back, and holds exactly what the log held at the position that it has
-    /// read up to.
+    /// read up to. What was written before a confirmation is known to it, although the log may have
+    /// lost it meanwhile.
     #[test]
     fn reader_agrees_with_log(steps in prop::collection::vec(step(), 1..120)) {
         let mut log = Log::new();
         let mut relays = [TopicCache::default(), TopicCache::default()];
         let mut reader = Reader::default();
         let mut now = Time::from_us(1_000);
-        reader.apply(now, log.read(now, None));
+        reader.apply(now, now, log.read(now, None));
         for step in steps {
             now = now + Span::from_ms(20);
+            log.write_again(now, false);
             match step {
-                Step::Append(key, value) => log.append(key, value),
+                Step::Append(key, value) => log.write(now, key, value),
                 Step::DeleteHistory => log.first = log.records.len(),
-                Step::Restore(lost) => log.restore(lost),
+                Step::Restore(lost) => log.restore(now, lost),
+                Step::WriteAgain => log.write_again(now, true),
                 Step::RelayReads(relay) => {
                     let page = log.read(now, relays[relay].next());
                     relays[relay].apply(page).unwrap();
@@ -190,18 +257,32 @@
                     relays[relay].apply(part(page, length)).unwrap();
                 }
                 Step::ReaderAsksRelay(relay) => match relays[relay].read(reader.progress.next(now)) {
-                    Ok(page) => reader.apply(now, page),
+                    Ok(page) => reader.apply(now, now, page),
                     Err(CacheError::NotLoaded) => prop_assert!(relays[relay].next().is_none()),
                     Err(error) => prop_assert!(reader.position > relays[relay].next(), "{error}"),
                 },
                 Step::ReaderAsksLog => {
                     let page = log.read(now, reader.progress.next(now));
-                    reader.apply(now, page);
+                    reader.apply(now, now, page);
                 }
+                Step::LogIsSlow(ms) => {
+                    let asked_at = now;
+                    let page = log.read(now, reader.progress.next(now));
+                    now = now + Span::from_ms(ms);
+                    reader.apply(asked_at, now, page);
+                }
+                Step::Wait(ms) => now = now + Span::from_ms(ms),
             }
             let position = reader.position.unwrap();
             let end = usize::try_from(position.offset.get()).unwrap();
             prop_assert_eq!(&reader.newest, &log.history[&(position.era.get(), end)]);
+            if let Some(confirmed_at) = reader.confirmed_at.filter(|_| !reader.progress.is_restoring()) {
+                for key in 0..5 {
+                    let value = value_of(&reader.newest, key);
+                    let known = log.values_since(key, confirmed_at);
+                    prop_assert!(known.contains(&value), "key {key}: {value:?}, not {known:?}");
+                }
+            }
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -52,6 +52,8 @@
 /// configuration is trusted after the store confirmed it. The rest is left for
 /// requests in flight.
 const CONFIG_TRUST_PERCENT: u64 = 86;
+/// The same while the store, which has come back from an older copy, can't confirm it.
+const RESTORING_TRUST_PERCENT: u64 = 96;
 /// Longest delay of a dispatch after a report. A report reaches all gateways at the same time,
 /// and those that dispatch later know what the others have announced.
 const REPORT_JITTER_MAX: Span = Span::from_ms(30);
@@ -87,6 +89,11 @@
     pub const fn config_trust(&self) -> Span {
         Span::from_ms(self.revocation_timeout.as_ms() * CONFIG_TRUST_PERCENT / 100)
     }
+
+    /// The same while the store can't confirm it after it has come back from an older copy.
+    const fn restoring_config_trust(&self) -> Span {
+        Span::from_ms(self.revocation_timeout.as_ms() * RESTORING_TRUST_PERCENT / 100)
+    }
 }
 
 /// Options for [`Gateway::new`].
@@ -447,6 +454,10 @@
                 if let Some(confirmed_at) = confirmed_at {
                     self.active_config.borrow_mut().confirm(confirmed_at);
                 }
+                if changes.is_restoring {
+                    let trust = self.bounds.restoring_config_trust();
+                    self.active_config.borrow_mut().prolong(trust);
+                }
                 // The store may confirm that it holds no configuration yet.
                 let is_known = self.active_config.borrow().catalog().is_some();
                 let trusted_until = self.active_config.borrow().valid_until();
--- a/crates/gateway/src/log_relay.rs
+++ b/crates/gateway/src/log_relay.rs
@@ -7,7 +7,7 @@
 use lentil_core::{Offset, Span, StoreEra, Time};
 use lentil_feed::{
     CacheError, ConfirmationOffset, LogTopic, Position, RELAY_ENDPOINTS_PAUSE, RELAY_LOG_WAIT,
-    RecordPage, RelayTiming, TopicCache,
+    RELAY_RESTORED_WAIT, RESTORE_TIME, RecordPage, RelayTiming, TopicCache,
 };
 use lentil_shell::BootClock;
 use lentil_wire::v1;
@@ -42,6 +42,9 @@
 struct CopyState {
     cache: TopicCache,
     wanted_until: Time,
+    /// Until when readers wait for confirmations of what was written again, after the store has come
+    /// back from an older copy.
+    restored_until: Time,
 }
 
 impl TopicCopy {
@@ -51,6 +54,7 @@
             state: Mutex::new(CopyState {
                 cache: TopicCache::new(topic),
                 wanted_until: Time::ZERO,
+                restored_until: Time::ZERO,
             }),
             demand: Notify::new(),
             reads: watch::Sender::new(0),
@@ -98,20 +102,29 @@
             if !is_wanted {
                 copy.demand.notified().await;
             }
-            let from = copy.state().cache.next();
+            let asked_at = self.clock.now();
+            let (from, is_restoring) = {
+                let state = copy.state();
+                let is_restoring = !state.restored_until.has_passed(asked_at);
+                (state.cache.next(), is_restoring)
+            };
             let wait = match copy.topic {
                 LogTopic::Operators | LogTopic::DefaultVersions if from.is_some() && !failing => {
-                    RELAY_LOG_WAIT.into()
+                    if is_restoring {
+                        RELAY_RESTORED_WAIT.into()
+                    } else {
+                        RELAY_LOG_WAIT.into()
+                    }
                 }
                 LogTopic::Operators | LogTopic::DefaultVersions | LogTopic::Endpoints => {
                     Duration::ZERO
                 }
             };
-            let asked_at = self.clock.now();
             let read = log.read(copy.topic, from, wait).await;
+            let now = self.clock.now();
             let applied = read
                 .map_err(|error| error.to_string())
-                .and_then(|page| Self::apply(copy, page));
+                .and_then(|page| Self::apply(copy, now, page));
             copy.reads.send_modify(|reads| *reads += 1);
             match applied {
                 Ok(is_complete) => {
@@ -136,9 +149,13 @@
     }
 
     /// Returns whether the copy has caught up with the log.
-    fn apply(copy: &TopicCopy, page: RecordPage) -> Result<bool, String> {
+    fn apply(copy: &TopicCopy, now: Time, page: RecordPage) -> Result<bool, String> {
         let is_complete = page.confirmed_at.is_some();
         let mut state = copy.state();
+        let known = state.cache.next();
+        if known.is_some_and(|known| page.next.era > known.era) {
+            state.restored_until = now + RESTORE_TIME.times(2);
+        }
         state.cache.apply(page).map_err(|error| error.to_string())?;
         Ok(is_complete)
     }
--- a/crates/gateway/src/store_feed.rs
+++ b/crates/gateway/src/store_feed.rs
@@ -62,6 +62,9 @@
     pub zones_out: Option<BTreeSet<ZoneId>>,
     /// New orders to change the version of a service.
     pub rollouts: Vec<ReadOrder>,
+    /// Whether the store has come back from an older copy and changes that it has lost may be
+    /// missing.
+    pub is_restoring: bool,
 }
 
 /// An order to change the version of a service, as read from the store.
--- a/crates/lentiltray/tests/it/restored_store.rs
+++ b/crates/lentiltray/tests/it/restored_store.rs
@@ -322,6 +322,32 @@
     });
 }
 
+/// A key was taken away right before the store went away, and no gateway had read it. The older copy
+/// confirmed the key until the operator wrote the change again, later than the key's time.
+#[test]
+fn unread_revocation() {
+    const SHORT_REVOKE_MS: u64 = 2_000;
+    let revocation = Duration::from_millis(SHORT_REVOKE_MS);
+    let mut restored =
+        Restored::start_revoking("restored_unread", Reader::Gateway, SHORT_REVOKE_MS);
+    restored.set_mode(StoreMode::Closing);
+    let revoked_at = Instant::now();
+    std::thread::sleep(AWAY_TIME);
+    restored.lose("keyed.op", 0);
+    restored.set_mode(StoreMode::Serving);
+    let returned_at = Instant::now();
+    restored.wait_until_read();
+    std::thread::sleep((revoked_at + revocation).saturating_duration_since(Instant::now()));
+    // The gateway has not read a confirmation of the new era yet.
+    while returned_at.elapsed() < Duration::from_millis(1_600) {
+        assert_eq!(restored.status("/lookup/a", "late"), 503);
+        std::thread::sleep(REQUEST_PAUSE);
+    }
+    wait_until("the key is confirmed", || {
+        restored.status("/lookup/a", "confirmed") == 200
+    });
+}
+
 /// The store came back from an older copy a second time while the first was being read.
 #[test]
 fn second_restore() {
