Append the versions of streams again that the store has lost

A gateway that learns of the rise of the era forgets what it has read and appends its records of the last 10 s again. For 2 s, until all have done so, take-ups of unknown streams are refused with a Retry-After that ends with that time. The decision stood in lentil-origin and its model already; nothing called it. Default versions that a relay has read in an earlier era are not used.

A read of records that does not suffice is no longer repeated without a delay.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -528,10 +528,11 @@
                 poison::notify_observers(&self.poison.reports(), added);
             }
             Update::DefaultVersions(read) => {
-                self.origins.record_defaults(&read);
+                self.origins.record_defaults(now, &read);
                 return;
             }
             Update::StoreEra(era) => {
+                self.origins.record_era(now, era);
                 self.metrics
                     .store_era
                     .set(i64::try_from(era.get()).unwrap_or(i64::MAX));
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lentil_core::{NotRunProof, Refusal, RefusalReason, ServiceName, Span, Time};
+use lentil_core::{NotRunProof, Refusal, RefusalReason, ServiceName, Span, StoreEra, Time};
 use lentil_feed::Position;
 use lentil_origin::{Lookup, Origins, StreamRecord, VersionCounts};
 use lentil_rollout::Version;
@@ -40,7 +40,10 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time after such a wait for which others do not wait, if they can go on without the log.
 const UNREADABLE_TIME: Span = Span::from_ms(1_000);
-/// Delay before a read of the log that failed is repeated.
+/// When the store has come back from an older copy, records of this time are appended again. The copy
+/// is some seconds old.
+const RESTORED_RECORDS_TIME: Span = Span::from_ms(10_000);
+/// Delay before the log is read again for a request, after a read that failed or did not suffice.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Interval at which it is checked whether default versions have to be read or written.
 const UPDATE_INTERVAL: Span = Span::from_ms(200);
@@ -67,6 +70,10 @@
     origins: RefCell<Origins>,
     pending: RefCell<VecDeque<PendingRecord>>,
     appends_due: Notify,
+    /// The last records that were queued, and when.
+    recent: RefCell<VecDeque<(Time, StreamRecord)>>,
+    /// The latest era of the store that is known.
+    era: Cell<Option<StoreEra>>,
     /// Whether the last append failed.
     failing: Cell<bool>,
     /// The position from which records are read next. Locked while they are read.
@@ -93,6 +100,8 @@
             origins: RefCell::default(),
             pending: RefCell::default(),
             appends_due: Notify::new(),
+            recent: RefCell::default(),
+            era: Cell::default(),
             failing: Cell::default(),
             next_read: Mutex::default(),
             defaults_wanted: Arc::default(),
@@ -124,8 +133,39 @@
         }
     }
 
+    /// Takes over the era of the store. If it has risen, what was read may be lost, and the
+    /// gateway's own records of the last seconds are appended again. Returns whether the era is the
+    /// latest one.
+    pub(crate) fn record_era(&self, now: Time, era: StoreEra) -> bool {
+        let known = self.era.get();
+        if known >= Some(era) {
+            return known == Some(era);
+        }
+        self.era.set(Some(era));
+        if known.is_none() {
+            return true;
+        }
+        self.origins.borrow_mut().forget_reads(now);
+        self.defaults_end.set(None);
+        let recent = std::mem::take(&mut *self.recent.borrow_mut());
+        let recent = recent
+            .into_iter()
+            .filter(|(at, _)| !(*at + RESTORED_RECORDS_TIME).has_passed(now));
+        let mut records = 0;
+        for (_, record) in recent {
+            records += 1;
+            drop(self.enqueue(now, record));
+        }
+        log::warn!(era:% = era, records = records; "the store has come back from an older copy; appending the versions of streams again");
+        true
+    }
+
     /// Takes over the default versions that were read from the log.
-    pub(crate) fn record_defaults(&self, read: &ReadDefaults) {
+    pub(crate) fn record_defaults(&self, now: Time, read: &ReadDefaults) {
+        if !self.record_era(now, read.end.era) {
+            log::info!(end:% = read.end; "the default versions of an earlier era were dropped");
+            return;
+        }
         let mut origins = self.origins.borrow_mut();
         origins.record_defaults(read.asked_at, &read.defaults);
         self.defaults_end.set(Some(read.end));
@@ -141,8 +181,15 @@
     }
 
     /// Queues a record, and returns what tells that it was appended.
-    fn enqueue(&self, record: StreamRecord) -> oneshot::Receiver<()> {
+    fn enqueue(&self, now: Time, record: StreamRecord) -> oneshot::Receiver<()> {
         let (sender, appended) = oneshot::channel();
+        let mut recent = self.recent.borrow_mut();
+        let is_recent = |(at, _): &(Time, _)| !(*at + RESTORED_RECORDS_TIME).has_passed(now);
+        while recent.len() >= PENDING_MAX || recent.front().is_some_and(|it| !is_recent(it)) {
+            recent.pop_front();
+        }
+        recent.push_back((now, record.clone()));
+        drop(recent);
         let mut pending = self.pending.borrow_mut();
         if pending.len() >= PENDING_MAX {
             log::warn!("a stream's record is dropped, as too many wait to be appended");
@@ -285,7 +332,7 @@
             .borrow_mut()
             .insert(now, record.clone());
         let is_failing = self.origins.failing.get();
-        let appended = self.origins.enqueue(record);
+        let appended = self.origins.enqueue(now, record);
         // An event that is ready does not wait for a log that has just failed.
         if is_failing {
             self.metrics.count_stream_record("late");
@@ -305,10 +352,11 @@
             Lookup::Unread { .. } => {
                 let refusal =
                     Refusal::not_run(NotRunProof::NeverSent, RefusalReason::LogUnavailable);
-                (
-                    "unread",
-                    Err(refusal.retry_after(RETRY_AFTER_STORE_FAILURE)),
-                )
+                let restored_until = self.origins.origins.borrow().reads_count_from();
+                let retry_after = restored_until
+                    .since(self.now())
+                    .max(RETRY_AFTER_STORE_FAILURE);
+                ("unread", Err(refusal.retry_after(retry_after)))
             }
         };
         self.metrics.count_take_up(result);
@@ -345,8 +393,10 @@
         })
     }
 
-    /// Looks the stream up until the log was read as far as it is needed.
+    /// Looks the stream up until the log was read as far as it is needed, or reads do not count
+    /// yet.
     async fn read_origin(&self, job: &Job) -> Lookup {
+        let mut has_read = false;
         loop {
             let lookup = {
                 let now = self.now();
@@ -360,10 +410,16 @@
             let Lookup::Unread { default, records } = lookup else {
                 return lookup;
             };
+            let reads_count_from = self.origins.origins.borrow().reads_count_from();
+            if !reads_count_from.has_passed(self.now()) {
+                return lookup;
+            }
+            if std::mem::replace(&mut has_read, true) {
+                tokio::time::sleep(READ_RETRY_DELAY).await;
+            }
             let read = self.origins.read_log(self, job.arrived, default, records);
             if let Err(error) = read.await {
                 log::info!(request:% = job.request.id; "the versions of streams were not read: {error}");
-                tokio::time::sleep(READ_RETRY_DELAY).await;
             }
         }
     }
@@ -382,16 +438,20 @@
         let mut next = self.next_read.lock().await;
         if default && self.defaults_read_at.get() < Some(wanted_at) {
             let read = self.log.read_defaults().await?;
-            self.record_defaults(&read);
+            self.record_defaults(gateway.now(), &read);
         }
         let is_read = |origins: &RefCell<Origins>| origins.borrow().has_read_records(wanted_at);
         while records && !is_read(&self.origins) {
             let asked_at = gateway.now();
             let read = self.log.read_records(*next).await?;
+            self.record_era(gateway.now(), read.next.era);
             *next = Some(read.next);
             let asked_at = read.is_complete.then_some(asked_at);
             let mut origins = self.origins.borrow_mut();
             origins.record_read(gateway.now(), read.records, asked_at);
+            if read.is_complete {
+                break;
+            }
         }
         Ok(())
     }
--- a/crates/lentiltray/tests/it/taken_up_streams.rs
+++ b/crates/lentiltray/tests/it/taken_up_streams.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 
-use crate::fake_store::CallFault;
+use crate::fake_store::{CallFault, StoreMode};
 use crate::gateway_harness::{config, wait_until};
 use crate::version_fleet::{
     Caller, EngineOptions, Fleet, READ_EVENTS, assert_version_gone, config_with_timeout,
@@ -466,6 +466,20 @@
     fleet.complete_all(&[1], later);
 }
 
+/// A stream went on at another version, as the store had come back from an older copy without its
+/// record.
+#[test]
+fn record_lost_in_restore() {
+    let fleet = Fleet::start_overlap("record_lost", 2, &config(1));
+    let callers = fleet.begin_at(0, "v2", 2);
+    fleet.store.set_mode(StoreMode::Closing);
+    std::thread::sleep(SETTLE_TIME);
+    fleet.store.truncate("streams", 0);
+    fleet.store.set_era(Some("2"));
+    fleet.store.set_mode(StoreMode::Serving);
+    fleet.complete_all(&[1], callers);
+}
+
 /// Takes up streams of each version at the other gateway.
 fn take_up_each(fleet: &Fleet, versions: &[&str]) {
     let begin = |version: &&str| fleet.begin_at(0, version, 2);
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -121,6 +121,12 @@
         }
     }
 
+    /// When reads of records count again, after the store has come back from an older copy.
+    #[must_use]
+    pub const fn reads_count_from(&self) -> Time {
+        self.restored_until
+    }
+
     /// Whether the records were read to their end, after `wanted_at`.
     #[must_use]
     pub fn has_read_records(&self, wanted_at: Time) -> bool {
