Take streams up without the log only if the list was confirmed since

During a release a gateway was cut off from the store while engines of a new version joined.

Cause: where the log could not be read, the default version held if the gateway had listed no other one, although its list was up to 5 s old.

The list has to be confirmed after the request had arrived now, by the log or through a relay, whichever comes first. Otherwise the request is refused with Retry-After; at once, if a look-up has failed within the last second and the list isn't current.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -55,8 +55,12 @@
         confirmed_at: Option<Time>,
         changes: OperatorChanges,
     },
-    /// Changed endpoint entries.
-    Endpoints(EndpointChanges),
+    /// Changed endpoint entries. `confirmed_at` is when the store was asked; `None` if it has newer
+    /// changes than these, or may have.
+    Endpoints {
+        confirmed_at: Option<Time>,
+        changes: EndpointChanges,
+    },
     /// A report of an engine.
     Report {
         address: SocketAddr,
@@ -325,6 +329,7 @@
     loop {
         let Some(ConfirmedChanges {
             changes: StoreChanges::Endpoints(changes),
+            confirmed_at,
             ..
         }) = source.next(&outbox).await
         else {
@@ -354,7 +359,11 @@
                 }
             }
         }
-        if outbox.send(Update::Endpoints(changes)).await.is_err() {
+        let update = Update::Endpoints {
+            confirmed_at,
+            changes,
+        };
+        if outbox.send(update).await.is_err() {
             return;
         }
         let services = services.borrow().clone();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -466,7 +466,10 @@
                         if is_known { trusted_until } else { Time::ZERO };
                 });
             }
-            Update::Endpoints(update) => {
+            Update::Endpoints {
+                confirmed_at,
+                changes: update,
+            } => {
                 let mut changes = Vec::new();
                 {
                     let mut fleet = self.fleet.borrow_mut();
@@ -494,6 +497,9 @@
                 }
                 self.refresh_rollouts();
                 self.observe_versions();
+                if let Some(confirmed_at) = confirmed_at {
+                    self.origins.confirm_list(confirmed_at);
+                }
                 self.handle_fleet_changes(changes);
                 self.update_readiness(|readiness| readiness.endpoints_known = true);
             }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -13,7 +13,7 @@
 use lentil_feed::Position;
 use lentil_origin::{Lookup, Origins, StreamRecord, VersionCounts};
 use lentil_rollout::Version;
-use tokio::sync::{Mutex, Notify, oneshot};
+use tokio::sync::{Mutex, Notify, oneshot, watch};
 
 use crate::attempt::Job;
 use crate::gateway::{Gateway, RETRY_AFTER_STORE_FAILURE};
@@ -38,8 +38,11 @@
 const APPEND_MAX: usize = 1_024;
 /// Longest time for which a request that takes a stream up waits for the log.
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time after such a wait for which others do not wait, if they can go on without the log.
+/// Time after such a wait for which others do not wait, if the list of endpoints is not confirmed
+/// either.
 const UNREADABLE_TIME: Span = Span::from_ms(1_000);
+/// Age from which a confirmation of the list is not expected to be followed by another one soon.
+const LIST_AGE_MAX: Span = Span::from_ms(2_000);
 /// When the store has come back from an older copy, records of this time are appended again. The copy
 /// is some seconds old.
 const RESTORED_RECORDS_TIME: Span = Span::from_ms(10_000);
@@ -88,6 +91,8 @@
     defaults_read_at: Cell<Option<Time>>,
     /// Until when the log counts as unreadable.
     unreadable_until: Cell<Time>,
+    /// When the store was asked for the list of endpoints, the last time.
+    list_confirmed_at: watch::Sender<Time>,
     write_due: Cell<Option<Time>>,
     is_writing: Cell<bool>,
     next_update: Cell<Time>,
@@ -110,6 +115,7 @@
             defaults: RefCell::default(),
             defaults_read_at: Cell::default(),
             unreadable_until: Cell::default(),
+            list_confirmed_at: watch::Sender::new(Time::ZERO),
             write_due: Cell::default(),
             is_writing: Cell::default(),
             next_update: Cell::default(),
@@ -120,9 +126,17 @@
         Arc::clone(&self.defaults_wanted)
     }
 
-    /// Whether the log could not be read a short time ago.
-    fn is_unreadable(&self, now: Time) -> bool {
+    /// Notes that the list of endpoints holds all entries that were written before this time.
+    pub(crate) fn confirm_list(&self, asked_at: Time) {
+        self.origins.borrow_mut().confirm_list(asked_at);
+        self.list_confirmed_at.send_replace(asked_at);
+    }
+
+    /// Whether neither the log could be read nor the list was confirmed a short time ago.
+    fn is_cut_off(&self, now: Time) -> bool {
+        let confirmed_at = *self.list_confirmed_at.borrow();
         !self.unreadable_until.get().has_passed(now)
+            && (confirmed_at + LIST_AGE_MAX).has_passed(now)
     }
 
     /// Asks for the default versions, unless it has just done so.
@@ -367,32 +381,53 @@
         found
     }
 
-    /// Looks the stream up, reading the log as far as it is needed. If the log can't be read, only
-    /// the versions that this gateway has listed can tell.
+    /// Looks the stream up, reading the log as far as it is needed. If the log can't be read, only a
+    /// list of endpoints that is confirmed meanwhile can tell.
     async fn look_up_origin(&self, job: &Job) -> Lookup {
-        let service = &job.service;
-        let without_log = || {
-            let origins = self.origins.origins.borrow();
-            let version = origins.look_up_without_log(self.now(), service)?;
-            Some(Lookup::Began(version))
+        let unread = Lookup::Unread {
+            default: true,
+            records: true,
         };
-        if self.origins.is_unreadable(self.now())
-            && let Some(began) = without_log()
-        {
-            return began;
+        if self.origins.is_cut_off(self.now()) {
+            let origins = self.origins.origins.borrow();
+            return match origins.get(&job.stream_key()) {
+                Some(version) if job.request.resumes.is_some() => Lookup::Began(version.clone()),
+                Some(_) | None => unread,
+            };
         }
-        let found = tokio::time::timeout(READ_TIMEOUT, self.read_origin(job)).await;
-        found.unwrap_or_else(|_| {
+        let found = tokio::time::timeout(READ_TIMEOUT, async {
+            tokio::select! {
+                biased;
+                lookup = self.read_origin(job) => lookup,
+                version = self.look_up_in_list(job) => Lookup::Began(version),
+            }
+        });
+        found.await.unwrap_or_else(|_| {
             self.origins
                 .unreadable_until
                 .set(self.now() + UNREADABLE_TIME);
-            without_log().unwrap_or(Lookup::Unread {
-                default: true,
-                records: true,
-            })
+            unread
         })
     }
 
+    /// Waits until the list of endpoints tells that the stream began at the only version that has
+    /// served.
+    async fn look_up_in_list(&self, job: &Job) -> Option<Version> {
+        let mut confirmations = self.origins.list_confirmed_at.subscribe();
+        loop {
+            let found = {
+                let origins = self.origins.origins.borrow();
+                origins.look_up_without_log(self.now(), &job.service, job.arrived)
+            };
+            if let Some(version) = found {
+                return version;
+            }
+            if confirmations.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// Looks the stream up until the log was read as far as it is needed, or reads do not count
     /// yet.
     async fn read_origin(&self, job: &Job) -> Lookup {
--- a/crates/lentiltray/tests/it/fake_store.rs
+++ b/crates/lentiltray/tests/it/fake_store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -46,6 +47,8 @@
 
 /// Time after which the store closes the connection of a call that it doesn't answer.
 const UNANSWERED_TIME: Duration = Duration::from_secs(2);
+/// The same of a call to a store that is silent.
+const SILENT_TIME: Duration = Duration::from_secs(30);
 
 #[derive(Debug, Default)]
 struct Topic {
@@ -79,6 +82,30 @@
     era: Option<String>,
 }
 
+/// A further address of a fake store.
+pub(crate) struct StoreLink {
+    server: Server,
+    is_cut: Arc<AtomicBool>,
+}
+
+impl StoreLink {
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Sets whether requests to this address get no response, as those of [`StoreMode::Silent`].
+    pub(crate) fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::SeqCst);
+    }
+}
+
+fn start_server(state: &Arc<Mutex<State>>, is_cut: &Arc<AtomicBool>) -> Server {
+    let (state, is_cut) = (Arc::clone(state), Arc::clone(is_cut));
+    let handler =
+        move |request: &Request, stream: &mut TcpStream| serve(&state, &is_cut, request, stream);
+    Server::start(Arc::new(handler))
+}
+
 /// A running fake store.
 pub(crate) struct Store {
     state: Arc<Mutex<State>>,
@@ -91,14 +118,15 @@
             era: Some("1".to_owned()),
             ..State::default()
         }));
-        let handler = {
-            let state = Arc::clone(&state);
-            move |request: &Request, stream: &mut TcpStream| serve(&state, request, stream)
-        };
-        Self {
-            state,
-            server: Server::start(Arc::new(handler)),
-        }
+        let server = start_server(&state, &Arc::default());
+        Self { state, server }
+    }
+
+    /// Opens a further address of the store, for clients that are to be cut off from it alone.
+    pub(crate) fn open_link(&self) -> StoreLink {
+        let is_cut = Arc::default();
+        let server = start_server(&self.state, &is_cut);
+        StoreLink { server, is_cut }
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -221,7 +249,16 @@
     }
 }
 
-fn serve(state: &Mutex<State>, request: &Request, stream: &mut TcpStream) -> ConnectionAction {
+fn serve(
+    state: &Mutex<State>,
+    is_cut: &AtomicBool,
+    request: &Request,
+    stream: &mut TcpStream,
+) -> ConnectionAction {
+    if is_cut.load(Ordering::SeqCst) {
+        std::thread::sleep(SILENT_TIME);
+        return ConnectionAction::Close;
+    }
     let mode = {
         let mut state = state.lock().unwrap();
         state.calls += 1;
@@ -256,7 +293,7 @@
     let bytes = match mode {
         StoreMode::Closing => return ConnectionAction::Close,
         StoreMode::Silent | StoreMode::OrderReads(0) => {
-            std::thread::sleep(Duration::from_secs(30));
+            std::thread::sleep(SILENT_TIME);
             return ConnectionAction::Close;
         }
         StoreMode::Refusing(status) => response_with_length(status, "", b""),
@@ -266,15 +303,16 @@
         let state = state.lock().unwrap();
         (state.mode, state.era.clone())
     };
+    let is_cut = is_cut.load(Ordering::SeqCst);
     match mode {
-        StoreMode::Silent => {
-            std::thread::sleep(Duration::from_secs(30));
-            ConnectionAction::Close
-        }
         StoreMode::Closing => ConnectionAction::Close,
-        StoreMode::Serving | StoreMode::Refusing(_) | StoreMode::OrderReads(_) => {
+        StoreMode::Serving | StoreMode::Refusing(_) | StoreMode::OrderReads(_) if !is_cut => {
             write_response(stream, &with_era(bytes, era.as_deref()))
         }
+        _ => {
+            std::thread::sleep(SILENT_TIME);
+            ConnectionAction::Close
+        }
     }
 }
 
--- a/crates/lentiltray/tests/it/gateway_harness.rs
+++ b/crates/lentiltray/tests/it/gateway_harness.rs
@@ -331,12 +331,21 @@
     test: &str,
     bounds: &str,
     observer_port: u16,
+) -> DaemonProcess {
+    start_gateway_at(store.address(), test, bounds, observer_port)
+}
+
+/// Like [`start_gateway`], with the address of the store.
+pub(crate) fn start_gateway_at(
+    store: SocketAddr,
+    test: &str,
+    bounds: &str,
+    observer_port: u16,
 ) -> DaemonProcess {
     let settings = format!(
         "name: {test}\nzone: z\ngateway:\n  callers: 127.0.0.1:0\n  \
-         readiness: 127.0.0.1:0\n  metrics: 127.0.0.1:0\n  store: {}\n  \
-         observer_port: {observer_port}\n  bounds: {{{bounds}}}\n",
-        store.address()
+         readiness: 127.0.0.1:0\n  metrics: 127.0.0.1:0\n  store: {store}\n  \
+         observer_port: {observer_port}\n  bounds: {{{bounds}}}\n"
     );
     DaemonProcess::start("gateway", test, &settings)
 }
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -44,6 +44,7 @@
 mod operations_pages;
 mod operator_changes;
 mod ordered_stops;
+mod out_of_step;
 mod planned_stop;
 mod poison_request;
 mod prompt_part;
--- a/crates/lentiltray/tests/it/version_fleet.rs
+++ b/crates/lentiltray/tests/it/version_fleet.rs
@@ -13,7 +13,7 @@
 };
 use crate::fake_store::Store;
 use crate::gateway_harness::{
-    Replica, config, free_port, readiness, register_version, signature_headers, start_gateway,
+    Replica, config, free_port, readiness, register_version, signature_headers, start_gateway_at,
     start_observer, wait_until, write_response,
 };
 
@@ -237,14 +237,22 @@
 
     /// Starts a gateway, and waits until it is ready and knows the engines.
     pub(crate) fn add_gateway(&mut self) {
+        let gateway = self.start_gateway(self.store.address());
+        self.gateways.push(gateway);
+    }
+
+    /// Starts a gateway that reaches the store at this address and is not one of the fleet's, and
+    /// waits until it is ready and knows the engines.
+    pub(crate) fn start_gateway(&mut self, store: SocketAddr) -> DaemonProcess {
         self.started_gateways += 1;
         let name = format!("{}-{}", self.test, self.started_gateways);
-        let gateway = start_gateway(&self.store, &name, "", self.observer_port.unwrap_or(1));
+        let observer_port = self.observer_port.unwrap_or(1);
+        let gateway = start_gateway_at(store, &name, "", observer_port);
         wait_until("the gateway is ready", || readiness(&gateway) == 200);
         for _ in self.engines.iter().filter(|engine| engine.is_listed) {
             gateway.wait_for_line("endpoint joined");
         }
-        self.gateways.push(gateway);
+        gateway
     }
 
     /// Takes a gateway out of the fleet, which no longer waits for it.
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -49,6 +49,8 @@
 pub struct Origins {
     services: BTreeMap<ServiceName, ServiceVersions>,
     records: Records,
+    /// When the store was asked for the list of endpoints, the last time that it was complete.
+    list_confirmed_at: Option<Time>,
     /// When the records were read, to their end.
     records_read_at: Option<Time>,
     /// Reads from before this time do not count.
@@ -79,6 +81,11 @@
         self.records.expire(now);
     }
 
+    /// Notes that the list of endpoints holds all entries that were written before this time.
+    pub fn confirm_list(&mut self, asked_at: Time) {
+        self.list_confirmed_at = self.list_confirmed_at.max(Some(asked_at));
+    }
+
     /// Takes over the default versions that the log held at `asked_at` or later; a relay's copy
     /// counts from when the relay asked. Services without one have none yet.
     pub fn record_defaults(
@@ -142,6 +149,12 @@
         self.records.insert(record, now + take_up_time);
     }
 
+    /// The version of a stream whose record is known.
+    #[must_use]
+    pub fn get(&self, key: &StreamKey) -> Option<&Option<Version>> {
+        self.records.get(key)
+    }
+
     /// Whether a stream that begins at this version has to be recorded in the log before its first
     /// event reaches the caller.
     #[must_use]
@@ -192,11 +205,20 @@
         }
     }
 
-    /// Returns the version at which a stream began whose look-up needs the log, if the log can't be
-    /// read: the default, if this gateway has seen no other version for the take-up time. A version
-    /// that has appeared within the last seconds may be missing from its list.
+    /// Returns the version at which a stream began that a request of `arrived_at` takes up, without
+    /// the records: the default, if this gateway has seen no other version for the take-up time, and
+    /// its list was confirmed since the request arrived. Without that, streams may have begun at a
+    /// version that other gateways have listed and this one has not.
     #[must_use]
-    pub fn look_up_without_log(&self, now: Time, service: &ServiceName) -> Option<Option<Version>> {
+    pub fn look_up_without_log(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        arrived_at: Time,
+    ) -> Option<Option<Version>> {
+        if self.list_confirmed_at < Some(arrived_at) {
+            return None;
+        }
         let versions = self.services.get(service)?;
         let default = versions.current_default(now)?;
         versions.only_default_served(now).then(|| default.clone())
--- a/crates/origin/tests/it/look_ups.rs
+++ b/crates/origin/tests/it/look_ups.rs
@@ -97,22 +97,31 @@
     assert_eq!(look_up(&origins, ms(60_510), "a2"), began("v1"));
 }
 
-/// Guards against refusals while only the default serves and the log can't be read, and against
-/// guesses otherwise.
+/// Guards against refusals while only the default serves and the records can't be read, and against
+/// guesses otherwise: another gateway may list a version that has appeared since the list was
+/// confirmed.
 #[test]
 fn without_log() {
     let mut origins = Origins::default();
+    let look_up = |origins: &Origins, now, arrived_at| {
+        origins.look_up_without_log(now, &service(), arrived_at)
+    };
     list(&mut origins, ms(0), "v1");
+    origins.confirm_list(ms(0));
     read_default(&mut origins, ms(10), Some("v1"));
-    assert_eq!(origins.look_up_without_log(ms(10), &service()), None);
+    assert_eq!(look_up(&origins, ms(10), ms(0)), None);
     list_until(&mut origins, ms(1_000), ms(60_000), "v1");
     read_default(&mut origins, ms(5_000), Some("v1"));
-    let known = origins.look_up_without_log(ms(60_000), &service());
+    assert_eq!(look_up(&origins, ms(60_000), ms(59_900)), None);
+    origins.confirm_list(ms(59_900));
+    let known = look_up(&origins, ms(60_000), ms(59_900));
     assert_eq!(known, Some(Some(version("v1"))));
-    assert_eq!(origins.look_up_without_log(ms(66_000), &service()), None);
+    assert_eq!(look_up(&origins, ms(60_000), ms(59_901)), None);
+    assert_eq!(look_up(&origins, ms(66_000), ms(59_900)), None);
     list(&mut origins, ms(61_000), "v1 v2");
+    origins.confirm_list(ms(61_000));
     read_default(&mut origins, ms(61_000), Some("v1"));
-    assert_eq!(origins.look_up_without_log(ms(61_000), &service()), None);
+    assert_eq!(look_up(&origins, ms(61_000), ms(61_000)), None);
 }
 
 /// Guards against refusals of old callers while only the default has served, and against guesses
--- a/crates/origin/tests/it/model.rs
+++ b/crates/origin/tests/it/model.rs
@@ -29,8 +29,6 @@
 const LOST_MAX: Span = Span::from_s(10);
 /// How long look-ups wait after a restore.
 const RESTORE_TIME: Span = Span::from_s(2);
-/// Age up to which a list that can't be read again is relied on.
-const LIST_AGE_MAX: Span = Span::from_s(5);
 
 type Id = usize;
 type MaybeVersion = Option<Version>;
@@ -633,6 +631,7 @@
             gateway
                 .origins
                 .observe(now, &service(), counts, self.setup.timeout.times(2));
+            gateway.origins.confirm_list(seen);
         }
         let recent = self.appended.iter().rev();
         let recent = recent
@@ -821,7 +820,7 @@
         let has_fault = gateway.fault_at >= since - CALL_TIMEOUT;
         self.note(|| format!("stream {id} of {began:?} at gateway {place}: {lookup:?}"));
         match lookup {
-            Lookup::Began(at) => self.take_up(id, since, &at, true),
+            Lookup::Began(at) => self.take_up(id, since, &at),
             Lookup::Unknown => {
                 self.report.count("refused, not named", 1);
                 if self.streams[id].named != Named::Not {
@@ -830,16 +829,17 @@
                 State::Done
             }
             Lookup::Unread { default, records } => {
+                let gateway = &self.gateways[place];
+                let known = gateway.origins.look_up_without_log(now, &service(), since);
+                if let Some(at) = known {
+                    return self.take_up(id, since, &at);
+                }
                 if !has_fault && now >= since + LOOK_UP_MAX {
                     self.violate(format!(
                         "stream {id} not looked up though the log can be read"
                     ));
                 }
                 if now >= since + LOOK_UP_WAIT {
-                    let gateway = &self.gateways[place];
-                    if let Some(at) = gateway.origins.look_up_without_log(now, &service()) {
-                        return self.take_up(id, since, &at, false);
-                    }
                     self.report.count("refused, log not read", 1);
                     return State::Waiting {
                         until: now + self.ms(100, 500),
@@ -854,7 +854,7 @@
     }
 
     /// Goes on at a version, or refuses if it has no engine.
-    fn take_up(&mut self, id: Id, since: Time, at: &MaybeVersion, is_read: bool) -> State {
+    fn take_up(&mut self, id: Id, since: Time, at: &MaybeVersion) -> State {
         let began = self.streams[id].version.clone();
         let place = self.streams[id].gateway;
         let engine = self.choose(place, Some(at));
@@ -897,8 +897,6 @@
             "store restored, record lost"
         } else if self.store.restored {
             "store restored, default lost"
-        } else if !is_read && self.is_new(&began, self.now - LIST_AGE_MAX) {
-            "log not read, version new"
         } else if stream.named == Named::Not && self.is_new(&began, stream.began_at) {
             "no attempt named, version new"
         } else {
