Let misdirected requests draw on the retry budget

After a loss of power endpoints are back at their addresses with new ids.

A 421 drew on no budget, as nothing has run, but the budget counts what endpoints reject too. The next attempt draws on it now; without budget the request is refused as not run.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -318,7 +318,13 @@
                         return Err(job.refuse(RefusalReason::EndpointFailed, None));
                     }
                 }
-                SendOutcome::EndpointGone => {}
+                SendOutcome::EndpointGone => {
+                    // The route's limit counts endpoints that may have run the request.
+                    if !self.spend_retry(&job.service) {
+                        let proof = NotRunProof::EndpointDeclined;
+                        return Err(job.refuse(RefusalReason::EndpointFailed, Some(proof)));
+                    }
+                }
                 SendOutcome::Declined => {
                     if !job.take_retry(self) {
                         let proof = NotRunProof::EndpointDeclined;
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -51,6 +51,7 @@
 mod raw_grpc;
 mod report_age;
 mod request_floods;
+mod restarted_endpoints;
 mod restored_store;
 mod rollout_evidence;
 mod rollout_orders;
