Play random restores of the store against a gateway

A seeded play with the real programs: configurations that each take the key of the one before away, endpoints that come and leave, and a store that is away for up to 1.2 s and comes back without up to four records of each topic, which are written again at once or within 1.5 s. No key works for longer than it may or after a newer one has worked, and in the end the gateway knows what was written last. With an odd seed it reads through an observer.

--- a/crates/lentiltray/tests/it/fake_store.rs
+++ b/crates/lentiltray/tests/it/fake_store.rs
@@ -199,6 +199,14 @@
             .collect()
     }
 
+    /// The newest value of a key; `None` if it was deleted or never written.
+    pub(crate) fn newest(&self, topic: &str, key: &str) -> Option<Value> {
+        let state = self.state.lock().unwrap();
+        let mut records = state.topics.get(topic)?.records.iter().rev();
+        let (_, value) = records.find(|(name, _)| name == key)?;
+        serde_json::from_slice(value).ok()
+    }
+
     /// Drops the first append whose body contains `text`, without a response.
     pub(crate) fn drop_append(&self, text: &str) {
         self.state.lock().unwrap().dropped_text = Some(text.to_owned());
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -52,6 +52,7 @@
 mod report_age;
 mod request_floods;
 mod restarted_endpoints;
+mod restored_play;
 mod restored_store;
 mod rollout_evidence;
 mod rollout_orders;
--- a/crates/lentiltray/tests/it/restored_store.rs
+++ b/crates/lentiltray/tests/it/restored_store.rs
@@ -24,7 +24,7 @@
 
 /// Whether a gateway reads the store itself, or the copy of an observer.
 #[derive(Debug, Clone, Copy)]
-enum Reader {
+pub(crate) enum Reader {
     Gateway,
     Observer,
 }
@@ -36,7 +36,7 @@
 }
 
 /// A gateway whose store comes back from older copies.
-struct Restored {
+pub(crate) struct Restored {
     processes: Processes,
     era: u64,
 }
@@ -46,7 +46,7 @@
         Self::start_revoking(test, reader, REVOKE_MS)
     }
 
-    fn start_revoking(test: &str, reader: Reader, revoke_ms: u64) -> Self {
+    pub(crate) fn start_revoking(test: &str, reader: Reader, revoke_ms: u64) -> Self {
         let processes = match reader {
             Reader::Observer => {
                 Processes::Observer(Box::new(RelaySite::start_revoking(test, revoke_ms)))
@@ -64,33 +64,33 @@
         Self { processes, era: 1 }
     }
 
-    fn site(&self) -> &Site {
+    pub(crate) fn site(&self) -> &Site {
         match &self.processes {
             Processes::Gateway { site, .. } => site,
             Processes::Observer(relay) => &relay.site,
         }
     }
 
-    fn stores(&self) -> Vec<&Store> {
+    pub(crate) fn stores(&self) -> Vec<&Store> {
         match &self.processes {
             Processes::Gateway { site, .. } => vec![&site.store],
             Processes::Observer(relay) => vec![&relay.site.store, &relay.relay_store],
         }
     }
 
-    fn set_mode(&self, mode: StoreMode) {
+    pub(crate) fn set_mode(&self, mode: StoreMode) {
         for store in self.stores() {
             store.set_mode(mode);
         }
     }
 
-    fn put(&self, topic: &str, key: &str, value: Option<&Value>) {
+    pub(crate) fn put(&self, topic: &str, key: &str, value: Option<&Value>) {
         for store in self.stores() {
             store.put(topic, key, value);
         }
     }
 
-    fn register(&self, replica: &Replica, state: &str) {
+    pub(crate) fn register(&self, replica: &Replica, state: &str) {
         for store in self.stores() {
             self.site()
                 .register_endpoint_in(store, replica, "desk", state);
@@ -113,13 +113,27 @@
 
     /// Removes the last records of a topic, as in an older copy of the store, whose era rises.
     fn lose(&mut self, topic: &str, lost: usize) {
+        self.lose_of(&[(topic, lost)]);
+    }
+
+    /// Like [`Self::lose`], of several topics. The first record of each stays.
+    pub(crate) fn lose_of(&mut self, topics: &[(&str, usize)]) {
         self.era += 1;
         for store in self.stores() {
-            store.truncate(topic, store.end(topic) - lost);
+            for (topic, lost) in topics {
+                let end = store.end(topic);
+                store.truncate(topic, end.saturating_sub(*lost).max(end.min(1)));
+            }
             store.set_era(Some(&self.era.to_string()));
         }
     }
 
+    /// The newest value of a key; `None` if it was deleted or is not held.
+    pub(crate) fn newest(&self, topic: &str, key: &str) -> Option<Value> {
+        let store = self.stores()[0];
+        store.newest(topic, key)
+    }
+
     /// Lets the store be away and come back without the last records of a topic. `write` writes
     /// records before the first read.
     fn restore(&mut self, topic: &str, lost: usize, write: impl FnOnce(&Self)) {
@@ -189,7 +203,7 @@
 }
 
 /// A configuration in which only `key` is valid.
-fn with_key(version: u64, key: &str) -> Value {
+pub(crate) fn with_key(version: u64, key: &str) -> Value {
     let mut next = config(version);
     next["tenants"] = json!([{"name": "council", "apiKeys": [key], "priority": 1}]);
     next
