Take a relay that states no era to have read the latest one known

After a restore the newest records are read once more without a position. The reply of a relay of the previous build, which states no era, was taken for one of the first era then, and refused as older, so that no confirmation came while such a relay was used. Found by reading; there is no relay of the previous build among the tests, so that it was not shown.

--- a/crates/gateway/src/relayed_log.rs
+++ b/crates/gateway/src/relayed_log.rs
@@ -54,6 +54,8 @@
     clock: BootClock,
     chooser: RefCell<SourceChooser>,
     last_source: Cell<ReadSource>,
+    /// The latest era that was read, which relays of the previous build are taken to have read.
+    era: Cell<StoreEra>,
     clients: RefCell<HashMap<SocketAddr, ObserverClient<Channel>>>,
 }
 
@@ -73,6 +75,7 @@
             clock,
             chooser: RefCell::new(SourceChooser::new(direct_readers_max, trust)),
             last_source: Cell::new(ReadSource::Log),
+            era: Cell::default(),
             clients: RefCell::default(),
         }
     }
@@ -181,7 +184,7 @@
             .map_err(|_| StoreError::RelayFailed("the response timed out".into()))?
             .map_err(|status| StoreError::RelayFailed(status.to_string()))?
             .into_inner();
-        page_from_wire(reply, from, requested_at, now)
+        page_from_wire(reply, from, self.era.get(), (requested_at, now))
     }
 }
 
@@ -198,7 +201,11 @@
         from: Option<Position>,
         wait: Duration,
     ) -> LocalFuture<'_, Result<RecordPage, StoreError>> {
-        Box::pin(self.read_any(topic, from, wait))
+        Box::pin(async move {
+            let page = self.read_any(topic, from, wait).await?;
+            self.era.set(self.era.get().max(page.next.era));
+            Ok(page)
+        })
     }
 
     fn is_shared(&self) -> bool {
@@ -215,15 +222,13 @@
 }
 
 /// Converts a relay's reply. Nothing is adopted from a relay that is behind the reader
-/// or whose clock can't be right. A relay that states no era is taken to have read that of the
-/// reader.
+/// or whose clock can't be right. A relay that states no era is taken to have read `known_era`.
 fn page_from_wire(
     reply: v1::ReadLogReply,
     from: Option<Position>,
-    requested_at: Time,
-    now: Time,
+    known_era: StoreEra,
+    (requested_at, now): (Time, Time),
 ) -> Result<RecordPage, StoreError> {
-    let known_era = from.unwrap_or_default().era;
     let era = reply.era.map_or(known_era, StoreEra::new);
     let next = Position::new(era, Offset::new(reply.next_offset));
     if from.is_some_and(|from| next < from) {
@@ -231,7 +236,7 @@
             "its copy ends at offset {next}"
         )));
     }
-    if era > known_era && from.is_some() && !reply.is_snapshot {
+    if from.is_some_and(|from| era > from.era) && !reply.is_snapshot {
         return Err(StoreError::RelayFailed(format!(
             "its records of era {era} do not hold the newest of each key"
         )));
