--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -538,10 +538,10 @@
                 return;
             }
             Update::StoreEra(era) => {
-                self.origins.record_era(now, era);
-                self.metrics
-                    .store_era
-                    .set(i64::try_from(era.get()).unwrap_or(i64::MAX));
+                if self.origins.record_era(now, era) {
+                    let number = i64::try_from(era.get()).unwrap_or(i64::MAX);
+                    self.metrics.store_era.set(number);
+                }
                 return;
             }
             Update::StoreFailed { asked_at } => {
