--- a/crates/lentiltray/tests/it/restored_play.rs
+++ b/crates/lentiltray/tests/it/restored_play.rs
@@ -12,6 +12,7 @@
 use crate::fake_store::StoreMode;
 use crate::gateway_harness::{Replica, request_head, respond_ok, wait_until};
 use crate::restored_store::{Reader, Restored, with_key};
+use crate::taken_up_play::number_from;
 
 /// Duration of the play if `LENTIL_PLAY_S` is not set.
 const PLAY_S: u64 = 14;
@@ -19,7 +20,8 @@
 const SEED: u64 = 20_261_204;
 /// Time after which a revoked key must stop working.
 const REVOKE_MS: u64 = 4_000;
-/// Time within which lost records are written again, and what a busy machine may add.
+/// Time within which lost records are written again, in milliseconds. It leaves a busy machine some of
+/// the 2 s that the pages allow.
 const WRITE_AGAIN_MAX_MS: u64 = 1_500;
 /// Largest number of records of a topic that are lost at once.
 const LOST_MAX: usize = 4;
@@ -30,13 +32,6 @@
 /// Pause between two rounds of requests.
 const REQUEST_PAUSE: Duration = Duration::from_millis(15);
 
-fn number_from(variable: &str, default: u64) -> u64 {
-    std::env::var(variable)
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(default)
-}
-
 /// The newest value of each key of a topic; `None` if it was deleted.
 type Written = BTreeMap<(&'static str, String), Option<Value>>;
 
--- a/crates/lentiltray/tests/it/taken_up_play.rs
+++ b/crates/lentiltray/tests/it/taken_up_play.rs
@@ -30,7 +30,8 @@
 /// Largest number of events that a caller reads in one step.
 const STEP_EVENTS: usize = 8;
 
-fn number_from(variable: &str, default: u64) -> u64 {
+/// The number that an environment variable holds.
+pub(crate) fn number_from(variable: &str, default: u64) -> u64 {
     std::env::var(variable)
         .ok()
         .and_then(|text| text.parse().ok())
