--- a/review/standins3.py
+++ b/review/standins3.py
@@ -19,7 +19,7 @@
 
 REVIEW = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(REVIEW)
-PROGRAM = os.path.join(ROOT, "target/deploy/lentiltray")
+PROGRAM = os.environ.get("LENTILTRAY", os.path.join(ROOT, "target/deploy/lentiltray"))
 CONTRACTS = ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream",
              "tenants", "places", "platform"]
 # The bounds of the sheet of hpw-rigging.
@@ -328,9 +328,9 @@
         if path == "/v1/report":
             body = {"stage": "combined", "models": [{"name": "m", "version": 1, "adapters": []}],
                     "busy": False, "sequence": 0, "waiting": 0, "running": len(self.runs),
-                    "kvUsed": 300 * len(self.runs), "kvTotal": 34307, "handles": 0,
+                    "kvUsed": self.o.get("run_tokens", 300) * len(self.runs), "kvTotal": 34307, "handles": 0,
                     "nextToken": 0, "born": self.born, "state": self.state,
-                    "runs": [[key, 300, made, 5] for key, made in self.runs.items()]}
+                    "runs": [[key, self.o.get("run_tokens", 300), made, 5] for key, made in self.runs.items()]}
             if self.leaving:
                 body["leaves_ms"] = max(0, int((self.leaving - time.monotonic()) * 1000))
             writer.write(response(200, {"Content-Type": "application/json"},
