--- a/review/standins3.py
+++ b/review/standins3.py
@@ -19,7 +19,7 @@
 
 REVIEW = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(REVIEW)
-PROGRAM = os.environ.get("LENTILTRAY", os.path.join(ROOT, "target/deploy/lentiltray"))
+PROGRAM = os.path.join(ROOT, "target/deploy/lentiltray")
 CONTRACTS = ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream",
              "tenants", "places", "platform"]
 # The bounds of the sheet of hpw-rigging.
@@ -152,8 +152,13 @@
         self.renewed, self.away, self.cut_replicas = {}, False, set()
         self.port = None
 
+    async def start_link(self, host="127.0.0.1"):
+        """A further address of the store, which can turn away all that call there."""
+        link = StoreLink(self)
+        link.address = f"{host}:{await HttpServer(link.serve).start(host)}"
+        return link
+
     async def start(self, host="127.0.0.1"):
-        self.host = host
         self.port = await HttpServer(self.serve).start(host)
         self.address = f"{host}:{self.port}"
         asyncio.get_running_loop().create_task(self.expire_entries())
@@ -268,6 +273,17 @@
         return await self.answer(writer, 404, {}, b"{}")
 
 
+class StoreLink:
+    def __init__(self, store):
+        self.store, self.refuses, self.address = store, False, None
+
+    async def serve(self, message, writer, reader):
+        if not self.refuses:
+            return await self.store.serve(message, writer, reader)
+        writer.write(response(503, {"Store-Era": str(self.store.era)}, b"{}"))
+        return await writer.drain()
+
+
 # Replicas, each a process of its own
 
 
@@ -328,9 +344,11 @@
         if path == "/v1/report":
             body = {"stage": "combined", "models": [{"name": "m", "version": 1, "adapters": []}],
                     "busy": False, "sequence": 0, "waiting": 0, "running": len(self.runs),
-                    "kvUsed": self.o.get("run_tokens", 300) * len(self.runs), "kvTotal": 34307, "handles": 0,
+                    "kvUsed": self.o.get("run_tokens", 300) * len(self.runs), "kvTotal": 34307,
+                    "handles": 0,
                     "nextToken": 0, "born": self.born, "state": self.state,
-                    "runs": [[key, self.o.get("run_tokens", 300), made, 5] for key, made in self.runs.items()]}
+                    "runs": [[key, self.o.get("run_tokens", 300), made, 5]
+                             for key, made in self.runs.items()]}
             if self.leaving:
                 body["leaves_ms"] = max(0, int((self.leaving - time.monotonic()) * 1000))
             writer.write(response(200, {"Content-Type": "application/json"},
@@ -625,9 +643,11 @@
             file.write(text)
         return path
 
-    async def start_gateway(self, name, host, zone="ch-west-a"):
+    async def start_gateway(self, name, host, zone="ch-west-a", store=None):
         if name not in self.gateways:
             values = self.values(name, host, zone)
+            if store:
+                values["platform"] = {"address": store}
             listen = {"frontend": f"{host}:{free_port(host)}",
                       "readiness": f"{host}:{free_port(host)}"}
             values["listen"] = listen
