review: streams without a record are joined after their gateway's end

A gateway that the store turns away delivers streams of another version than the default without a record, and is killed. The other gateway takes them for streams of the default version.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,5 +1,5 @@
-"""Two replicas of a service are upgraded in place, one after the other: each one starts again under
-its id, with a new version of its software. Streams that break off there go on elsewhere."""
+"""Two versions of a service's software serve side by side. The store turns one gateway away, which is
+killed some seconds later. Requesters take their streams up at the other one."""
 
 import asyncio
 import os
@@ -10,11 +10,8 @@
 sys.path.insert(0, os.path.dirname(CASE))
 import standins3 as s  # noqa: E402
 
-ENGINES, GATEWAYS, STREAMS = 3, 2, 16
-SLOTS = 8
-UPGRADED = 2
+STREAMS = 16
 OLD, NEW = "1.4.0", "1.5.0"
-DOWN_S, GAP_S = 0.5, 0.1
 ROUTES = [s.route("verdict", "streaming", "lentil-pool", 39000, 1500, gapTargetMs=180,
                   sticky=True, resumable=True, maxAttempts=2)]
 
@@ -23,12 +20,12 @@
     """A requester that takes its stream up at the other gateway when it breaks off."""
 
     def __init__(self, site, number):
-        self.site, self.number, self.events, self.tries = site, number, {}, 0
+        self.site, self.number, self.events = site, number, {}
         self.first, self.complete = None, False
 
     async def run(self, gateways):
-        for attempt in range(4):
-            gateway = gateways[(self.number + attempt) % len(gateways)]
+        for attempt in range(3):
+            gateway = gateways[min(attempt, len(gateways) - 1)]
             identity = f"9c41d07b{self.number:04x}{attempt:04x}"
             more = {}
             if self.events:
@@ -47,11 +44,10 @@
                 self.events[int(event)] = (version, replica)
             if found and self.first is None:
                 self.first = identity
-            self.site.record(f"requester: {identity} at {gateway.name} "
-                             f"{json_of(more)}: {status}, {len(found)} events, "
-                             f"{'complete' if complete else 'broken off'}")
+            self.site.record(f"requester: {identity} at {gateway.name} {more or ''}: {status}, "
+                             f"{len(found)} events, {'complete' if complete else 'broken off'}")
             self.complete = status == 200 and complete
-            if self.complete or (status == 503 and "retry-after" not in answer):
+            if self.complete:
                 return
             await asyncio.sleep(min(2.0, float(answer.get("retry-after", 0.05))))
 
@@ -59,43 +55,38 @@
         return sorted({version for version, _ in self.events.values()})
 
 
-def json_of(more):
-    return " ".join(f"{name.replace('_', '-')}: {value}" for name, value in more.items())
-
-
-async def upgrade(site):
-    """One replica at a time; the next one once the one before is back."""
-    for engine in list(site.replicas.values())[:UPGRADED]:
-        await engine.kill()
-        site.record(f"{engine.name} is stopped")
-        await asyncio.sleep(DOWN_S)
-        await site.restart_replica(engine, version=NEW)
-        await site.until("it is back", lambda: engine.lines()[-1]["what"] == "started", 5)
-        site.record(f"{engine.name} is back under its id, at version {NEW}")
-        await asyncio.sleep(GAP_S)
-
-
 async def play(site):
     await site.start_store()
-    hosts = [f"127.0.6.{10 + number}" for number in range(1, ENGINES + 1)]
-    fronts = [f"127.0.6.{number}" for number in range(1, GATEWAYS + 1)]
+    link = await site.store.start_link()
+    hosts = [f"127.0.10.{100 + number}" for number in range(1, 5)]
+    fronts = ["127.0.10.1", "127.0.10.2"]
     site.choose_ports(hosts + fronts)
-    site.store.put("keyed.op", "config", s.config(1, ROUTES, [
-        s.engine_service("lentil-pool", slots=SLOTS)]))
-    for number, host in enumerate(hosts, 1):
-        engine = await site.start_replica(f"i-{number}", host, service="lentil-pool",
-                                          kind="engine", version=OLD, prefill_ms=60,
+    site.store.put("keyed.op", "config", s.config(1, ROUTES, [s.engine_service("lentil-pool")]))
+
+    async def start_engine(number, version):
+        engine = await site.start_replica(f"i-{number}", hosts[number - 1], kind="engine",
+                                          service="lentil-pool", version=version, prefill_ms=60,
                                           events=160, gap_ms=50)
         await site.start_observer(engine)
-    gateways = [await site.start_gateway(f"frontend-ch-west-a-{number}", host)
-                for number, host in enumerate(fronts, 1)]
-    await site.until_ready(*gateways)
-    await asyncio.sleep(s.CONTACT_S + 9)
-    streams = [Stream(site, number) for number in range(STREAMS)]
-    tasks = [asyncio.create_task(stream.run(gateways)) for stream in streams]
-    await asyncio.sleep(1.5)
+    for number in (1, 2):
+        await start_engine(number, OLD)
+    first = await site.start_gateway("frontend-ch-west-a-1", fronts[0], store=link.address)
+    second = await site.start_gateway("frontend-ch-west-a-2", fronts[1])
+    await site.until_ready(first, second)
+    await asyncio.sleep(12)
+    for number in (3, 4):
+        await start_engine(number, NEW)
+    site.record(f"two replicas of version {NEW} serve beside two of {OLD}")
+    await asyncio.sleep(8)
     if site.trouble:
-        await upgrade(site)
+        link.refuses = True
+        site.record(f"the store turns {first.name} away (503)")
+    await asyncio.sleep(1)
+    streams = [Stream(site, number) for number in range(STREAMS)]
+    tasks = [asyncio.create_task(stream.run([first, second])) for stream in streams]
+    await asyncio.sleep(2.5)
+    await first.kill()
+    site.record(f"{first.name} is killed (SIGKILL)")
     await asyncio.gather(*tasks)
     joined = [it for it in streams if len(it.versions()) > 1]
     for stream in joined:
@@ -109,8 +100,8 @@
     done = sum(stream.complete for stream in streams)
     site.record(f"{done} of {STREAMS} streams are complete, {len(joined)} hold events of two "
                 f"versions")
-    if not site.trouble and done != STREAMS:
-        raise s.CannotRun("not all streams were served without the disruption")
+    if done < STREAMS / 2:
+        raise s.CannotRun("the streams were not served")
     if len(joined) > 2:
         return f"ORDER: {len(joined)} streams hold events from replicas of two software versions"
     return None
