--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,5 +1,5 @@
 """Two versions of a service's software serve side by side. The store turns one gateway away, which is
-killed some seconds later. Requesters take their streams up at the other one."""
+killed some seconds later. Requesters take their streams up at two others."""
 
 import asyncio
 import os
@@ -17,7 +17,7 @@
 
 
 class Stream:
-    """A requester that takes its stream up at the other gateway when it breaks off."""
+    """A requester that takes its stream up at another gateway when it breaks off."""
 
     def __init__(self, site, number):
         self.site, self.number, self.events = site, number, {}
@@ -59,7 +59,7 @@
     await site.start_store()
     link = await site.store.start_link()
     hosts = [f"127.0.10.{100 + number}" for number in range(1, 5)]
-    fronts = ["127.0.10.1", "127.0.10.2"]
+    fronts = ["127.0.10.1", "127.0.10.2", "127.0.10.3"]
     site.choose_ports(hosts + fronts)
     site.store.put("keyed.op", "config", s.config(1, ROUTES, [s.engine_service("lentil-pool")]))
 
@@ -72,7 +72,8 @@
         await start_engine(number, OLD)
     first = await site.start_gateway("frontend-ch-west-a-1", fronts[0], store=link.address)
     second = await site.start_gateway("frontend-ch-west-a-2", fronts[1])
-    await site.until_ready(first, second)
+    third = await site.start_gateway("frontend-ch-west-a-3", fronts[2])
+    await site.until_ready(first, second, third)
     await asyncio.sleep(12)
     for number in (3, 4):
         await start_engine(number, NEW)
@@ -83,7 +84,7 @@
         site.record(f"the store turns {first.name} away (503)")
     await asyncio.sleep(1)
     streams = [Stream(site, number) for number in range(STREAMS)]
-    tasks = [asyncio.create_task(stream.run([first, second])) for stream in streams]
+    tasks = [asyncio.create_task(stream.run([first, (second, third)[stream.number % 2]])) for stream in streams]
     await asyncio.sleep(2.5)
     await first.kill()
     site.record(f"{first.name} is killed (SIGKILL)")
