Have observers hold the versions of streams that can't be written to the log

Seen by callers: while the store turned a gateway away, streams began there at the newer of two versions. No process has to die for it.

Cause: the first event was passed on although the record of the stream's version was in its gateway's memory only, and a stream without a record in the log counts as one of the default version. The log can be read in full by the gateways that take the streams up, so that nothing tells them.

Change: a record that can't be appended is held by three observers, chosen by the stream's key, before the first event is passed on. They append it when they can, and are asked at each take-up. Without any of them the stream is not passed on but runs again at the default version, where it needs no record. An append that takes over 0.4 s counts as failed; before, the first event waited 0.6 s. The log line of a take-up names where the version is known from.

Why it works: no first event leaves the gateway before two other processes (one, if no more can be reached) can tell its version to whoever asks, whether or not the log can be written.

Tests: taken_up_streams::appends_refused, appends_unanswered and append_answers_lost asked for a stream at the newer version while appends fail and no observer exists, which is the fault itself. They ask the same now with observers; unrecorded_streams::nobody_holds covers the deployment without them: streams begin in time, at the default only, and none is joined.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -249,6 +249,15 @@
         Some(&self.endpoints.get(id)?.record.zone)
     }
 
+    /// The records of a service's known endpoints, including leaving ones.
+    pub fn records<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a EndpointRecord> {
+        let records = self.endpoints.values().map(|endpoint| &endpoint.record);
+        records.filter(move |record| record.service == *service)
+    }
+
     /// Number of entries that send to the same endpoints, including this one.
     #[must_use]
     pub fn entry_count(&self, now: Time) -> u32 {
--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -46,6 +46,28 @@
         Ok(client)
     }
 
+    /// Calls an observer. A call that fails on a kept connection is made again on a new one, as the
+    /// observer may have restarted since.
+    pub(crate) async fn call<T>(
+        &self,
+        observer: SocketAddr,
+        call: impl AsyncFn(ObserverClient<Channel>) -> Result<T, tonic::Status>,
+    ) -> Result<T, tonic::Status> {
+        let is_kept = self.clients.borrow().contains_key(&observer);
+        let result = call(self.get(observer)?).await;
+        let is_broken = |status: &tonic::Status| status.code() == tonic::Code::Unavailable;
+        match result {
+            Err(status) if is_broken(&status) => {
+                self.close(observer);
+                if !is_kept {
+                    return Err(status);
+                }
+                call(self.get(observer)?).await
+            }
+            result => result,
+        }
+    }
+
     /// Closes the connection to an observer, which may have become silent.
     fn close(&self, observer: SocketAddr) {
         self.clients.borrow_mut().remove(&observer);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod endpoints;
 mod follow;
 mod gateway;
+mod held_streams;
 mod hop_by_hop;
 mod link_lock;
 mod listener;
@@ -51,6 +52,7 @@
 mod shutdown;
 mod status_log;
 mod store_feed;
+mod stream_holders;
 mod wait_queue;
 
 pub use body::{BodyInterrupted, CollectError, ResponseBody, collect};
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -22,8 +22,10 @@
 
 use crate::attempt::seconds;
 use crate::endpoints::EndpointClient;
+use crate::held_streams::HeldStreams;
 use crate::log_relay::LogRelay;
 use crate::metrics::ObserverMetrics;
+use crate::origin_log::OriginLog;
 use crate::poison::{CrashReports, CrashSuspects};
 use crate::rollout_exchange::{OrderEvidence, ReportedEvidence};
 use crate::store_feed::RecordLog;
@@ -76,6 +78,8 @@
     pub engine_client: Rc<dyn EndpointClient>,
     /// The platform's log, if the observer reads it for gateways.
     pub log: Option<Rc<dyn RecordLog>>,
+    /// The log with the versions that began streams, if the observer appends them for gateways.
+    pub origin_log: Option<Rc<dyn OriginLog>>,
 }
 
 /// Options of an observer.
@@ -123,14 +127,18 @@
         let poll_state = shared.clone();
         let clock = options.clock;
         let relay = LogRelay::new(clock);
+        let held_streams = HeldStreams::new(clock);
         let engine = spawn_io("engine", {
-            let relay = relay.clone();
+            let (relay, held_streams) = (relay.clone(), held_streams.clone());
             move || {
                 let sources = sources();
                 async move {
                     if let Some(log) = sources.log {
                         tokio::task::spawn_local(relay.run(log));
                     }
+                    if let Some(log) = sources.origin_log {
+                        tokio::task::spawn_local(held_streams.run(log));
+                    }
                     poll_engine(options, sources.engine_client, poll_state).await;
                 }
             }
@@ -141,6 +149,7 @@
             shared,
             link: Arc::new(Semaphore::new(1)),
             relay,
+            held_streams,
         };
         let gateways = spawn_io("gateways", move || serve_gateways(listener, service))?;
         Ok(Self {
@@ -367,6 +376,7 @@
     /// The engine's link for copies. It is granted in order of arrival.
     link: Arc<Semaphore>,
     relay: LogRelay,
+    held_streams: HeldStreams,
 }
 
 /// Decrements the follower count when dropped.
@@ -422,6 +432,22 @@
         Ok(Response::new(reply))
     }
 
+    async fn hold_stream(
+        &self,
+        request: Request<v1::HoldStreamRequest>,
+    ) -> Result<Response<v1::HoldStreamReply>, Status> {
+        let reply = self.held_streams.hold(request.get_ref())?;
+        Ok(Response::new(reply))
+    }
+
+    async fn find_stream(
+        &self,
+        request: Request<v1::FindStreamRequest>,
+    ) -> Result<Response<v1::FindStreamReply>, Status> {
+        let reply = self.held_streams.find(request.get_ref())?;
+        Ok(Response::new(reply))
+    }
+
     type HoldLinkStream = BoxStream<'static, Result<v1::LinkGranted, Status>>;
 
     async fn hold_link(
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -5,10 +5,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
 use lentil_core::{NotRunProof, Refusal, RefusalReason, ServiceName, Span, StoreEra, Time};
 use lentil_feed::Position;
 use lentil_origin::{Lookup, Origins, StreamRecord, VersionCounts};
@@ -20,6 +22,7 @@
 use crate::origin_log::{OriginLog, ReadDefaults};
 use crate::status_log::WriteOutcome;
 use crate::store_feed::StoreError;
+use crate::stream_holders::HeldVersion;
 
 /// Shortest interval between two appends of a gateway.
 const APPEND_INTERVAL_MIN: Span = Span::from_ms(10);
@@ -28,8 +31,12 @@
 const APPEND_INTERVAL_PER_GATEWAY: Span = Span::from_ms(5);
 /// Longest interval between two appends, which delays the first events of streams.
 const APPEND_INTERVAL_MAX: Span = Span::from_ms(250);
-/// Longest time for which the first event of a stream waits for its record.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest time for which the first event of a stream waits until the gateway itself has appended its
+/// record: the longest interval between two appends, and the append.
+const APPEND_WAIT: Duration = Duration::from_millis(400);
+/// Time for which new streams are placed where they need no record, after neither the log nor an
+/// observer has taken one.
+const UNRECORDED_TIME: Span = Span::from_ms(2_000);
 /// Delay before an append that failed is repeated.
 const APPEND_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Maximum number of records that wait to be appended; beyond it the oldest are dropped.
@@ -60,11 +67,29 @@
 /// routes: its own time and that of the caller's repeats.
 const TAKE_UP_TIMEOUTS: u64 = 2;
 
+/// The result of a look-up that has read nothing.
+const UNREAD: Lookup = Lookup::Unread {
+    default: true,
+    records: true,
+};
+
 /// A record that waits to be appended, and who waits for it.
 #[derive(Debug)]
 struct PendingRecord {
     record: StreamRecord,
-    appended: oneshot::Sender<()>,
+    /// Dropped when the first append has failed.
+    appended: Option<oneshot::Sender<()>>,
+}
+
+/// Where the version of a stream is known before its first event is passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Recorded {
+    /// No record is needed, or it is in the log.
+    InLog,
+    /// Observers hold the record, and append it when they can.
+    Held,
+    /// This gateway alone knows the version.
+    Nowhere,
 }
 
 /// The streams of a gateway and the versions that began them.
@@ -77,8 +102,10 @@
     recent: RefCell<VecDeque<(Time, StreamRecord)>>,
     /// The latest era of the store that is known.
     era: Cell<Option<StoreEra>>,
-    /// Whether the last append failed.
+    /// Whether the last append failed or did not end in time.
     failing: Cell<bool>,
+    /// Until when new streams are placed where they need no record.
+    unrecorded_until: Cell<Time>,
     /// The position from which records are read next. Locked while they are read.
     next_read: Mutex<Option<Position>>,
     /// Wakes the thread that reads the default versions.
@@ -108,6 +135,7 @@
             recent: RefCell::default(),
             era: Cell::default(),
             failing: Cell::default(),
+            unrecorded_until: Cell::default(),
             next_read: Mutex::default(),
             defaults_wanted: Arc::default(),
             defaults_wanted_at: Cell::default(),
@@ -122,6 +150,11 @@
         }
     }
 
+    /// The default version of a service that was last read.
+    pub(crate) fn last_default(&self, service: &ServiceName) -> Option<Option<Version>> {
+        self.origins.borrow().last_default(service).cloned()
+    }
+
     pub(crate) fn defaults_wanted(&self) -> Arc<Notify> {
         Arc::clone(&self.defaults_wanted)
     }
@@ -211,12 +244,19 @@
         }
         pending.push_back(PendingRecord {
             record,
-            appended: sender,
+            appended: Some(sender),
         });
         self.appends_due.notify_one();
         appended
     }
 
+    /// Notes that an append takes too long, so that further records go to observers at once.
+    fn record_late_append(&self) {
+        if !self.failing.replace(true) {
+            log::warn!("the versions of streams are not recorded in time");
+        }
+    }
+
     /// Appends the records that wait. Those of a failed append wait again.
     async fn append_pending(&self) -> bool {
         let batch: Vec<_> = {
@@ -230,9 +270,9 @@
                 if self.failing.replace(false) {
                     log::info!("the versions of streams are recorded again");
                 }
-                for pending in batch {
-                    // A stream that has waited for too long goes on without.
-                    let _ = pending.appended.send(());
+                for appended in batch.into_iter().filter_map(|it| it.appended) {
+                    // Streams do not wait for longer than their records need.
+                    let _ = appended.send(());
                 }
                 true
             }
@@ -242,7 +282,10 @@
                 }
                 let mut pending = self.pending.borrow_mut();
                 for record in batch.into_iter().rev() {
-                    pending.push_front(record);
+                    pending.push_front(PendingRecord {
+                        appended: None,
+                        ..record
+                    });
                 }
                 false
             }
@@ -325,42 +368,82 @@
 
     /// Records the version of a stream whose first event is about to be passed on, if another
     /// gateway could not tell it.
-    pub(crate) async fn record_origin(&self, job: &Job, version: Option<Version>) {
+    pub(crate) async fn record_origin(
+        self: &Rc<Self>,
+        job: &Job,
+        version: Option<Version>,
+    ) -> Recorded {
         if !job.route.is_retryable() {
-            return;
+            return Recorded::InLog;
         }
         let now = self.now();
         let is_needed = {
             let origins = self.origins.origins.borrow();
             origins.needs_record(now, &job.service, version.as_ref())
         };
+        if !is_needed {
+            return Recorded::InLog;
+        }
         let record = StreamRecord {
             key: job.stream_key(),
             version,
         };
-        if !is_needed {
-            return;
-        }
         self.origins
             .origins
             .borrow_mut()
             .insert(now, record.clone());
+        let recorded = self.record_in_time(job, record).await;
+        let outcome = match recorded {
+            Recorded::InLog => "appended",
+            Recorded::Held => "held",
+            Recorded::Nowhere => {
+                let until = self.now() + UNRECORDED_TIME;
+                self.origins.unrecorded_until.set(until);
+                "unrecorded"
+            }
+        };
+        self.metrics.count_stream_record(outcome);
+        recorded
+    }
+
+    /// Appends a record, or has observers hold it if that fails or takes too long.
+    async fn record_in_time(self: &Rc<Self>, job: &Job, record: StreamRecord) -> Recorded {
         let is_failing = self.origins.failing.get();
-        let appended = self.origins.enqueue(now, record);
-        // An event that is ready does not wait for a log that has just failed.
-        if is_failing {
-            self.metrics.count_stream_record("late");
-            return;
+        let appended = self.origins.enqueue(self.now(), record.clone());
+        if !is_failing {
+            match tokio::time::timeout(APPEND_WAIT, appended).await {
+                Ok(Ok(())) => return Recorded::InLog,
+                // The append has failed.
+                Ok(Err(_)) => {}
+                Err(_) => self.origins.record_late_append(),
+            }
         }
-        match tokio::time::timeout(RECORD_TIMEOUT, appended).await {
-            Ok(Ok(())) => self.metrics.count_stream_record("appended"),
-            Ok(Err(_)) | Err(_) => self.metrics.count_stream_record("late"),
+        let keep = self.origins.origins.borrow().take_up_time(&job.service);
+        if self.hold_record(job, &record, keep).await {
+            Recorded::Held
+        } else {
+            Recorded::Nowhere
         }
     }
 
+    /// The version at which a new stream has to begin, as its record would be taken neither by the
+    /// log nor by an observer.
+    pub(crate) fn unrecorded_version(&self, job: &Job) -> Option<Option<Version>> {
+        let origins = &self.origins;
+        if !job.route.is_retryable()
+            || !origins.failing.get()
+            || origins.unrecorded_until.get().has_passed(self.now())
+        {
+            return None;
+        }
+        let origins = origins.origins.borrow();
+        origins.unrecorded_version(&job.service).cloned()
+    }
+
     /// Returns the version at which the stream began that a request takes up.
     pub(crate) async fn find_origin(&self, job: &Job) -> Result<Option<Version>, Refusal> {
-        let (result, found) = match self.look_up_origin(job).await {
+        let (lookup, source) = self.look_up_origin(job).await;
+        let (result, found) = match lookup {
             Lookup::Began(version) => ("known", Ok(version)),
             Lookup::Unknown => ("unknown", Err(job.refuse(RefusalReason::VersionGone, None))),
             Lookup::Unread { .. } => {
@@ -377,39 +460,71 @@
         let version = found.as_ref().ok().and_then(Option::as_ref);
         let version = version.map_or("", Version::as_str);
         let begun_by = job.request.resumes.as_ref().map_or("", |id| id.as_str());
-        log::info!(request:% = job.request.id, begun_by = begun_by, result = result, version = version; "stream taken up");
+        log::info!(request:% = job.request.id, begun_by = begun_by, result = result, source = source, version = version; "stream taken up");
         found
     }
 
-    /// Looks the stream up, reading the log as far as it is needed. If the log can't be read, only a
-    /// list of endpoints that is confirmed meanwhile can tell.
-    async fn look_up_origin(&self, job: &Job) -> Lookup {
-        let unread = Lookup::Unread {
-            default: true,
-            records: true,
+    /// Looks the stream up in the log and at its holders. If the log can't be read, only a holder or
+    /// a list of endpoints that is confirmed meanwhile can tell.
+    async fn look_up_origin(&self, job: &Job) -> (Lookup, &'static str) {
+        let key = job.stream_key();
+        let is_named = job.request.resumes.is_some();
+        let known = self.origins.origins.borrow().get(&key).cloned();
+        if let Some(version) = known.filter(|_| is_named) {
+            return (Lookup::Began(version), "record");
+        }
+        let held = async {
+            if is_named {
+                self.find_held(job).await
+            } else {
+                HeldVersion::NotHeld
+            }
         };
         if self.origins.is_cut_off(self.now()) {
-            let origins = self.origins.origins.borrow();
-            return match origins.get(&job.stream_key()) {
-                Some(version) if job.request.resumes.is_some() => Lookup::Began(version.clone()),
-                Some(_) | None => unread,
+            return match held.await {
+                HeldVersion::Held(version) => (Lookup::Began(version), "holder"),
+                HeldVersion::NotHeld | HeldVersion::Unanswered => (UNREAD, ""),
             };
         }
         let found = tokio::time::timeout(READ_TIMEOUT, async {
             tokio::select! {
                 biased;
-                lookup = self.read_origin(job) => lookup,
-                version = self.look_up_in_list(job) => Lookup::Began(version),
+                found = self.read_origin(job, held) => found,
+                version = self.look_up_in_list(job) => (Lookup::Began(version), "list"),
             }
         });
         found.await.unwrap_or_else(|_| {
             self.origins
                 .unreadable_until
                 .set(self.now() + UNREADABLE_TIME);
-            unread
+            (UNREAD, "")
         })
     }
 
+    /// Looks the stream up in the log. A stream without a record there began at the default only if
+    /// its holders have none either.
+    async fn read_origin(
+        &self,
+        job: &Job,
+        held: impl Future<Output = HeldVersion>,
+    ) -> (Lookup, &'static str) {
+        let key = job.stream_key();
+        let is_recorded = || self.origins.origins.borrow().get(&key).is_some();
+        let (read, held) = (pin!(self.read_log_for(job)), pin!(held));
+        let (lookup, held) = match select(read, held).await {
+            Either::Left((lookup, _)) if is_recorded() => return (lookup, "record"),
+            Either::Left((lookup, held)) => (lookup, held.await),
+            Either::Right((held @ HeldVersion::Held(_), _)) => (UNREAD, held),
+            Either::Right((held, read)) => (read.await, held),
+        };
+        match held {
+            HeldVersion::Held(version) => (Lookup::Began(version), "holder"),
+            HeldVersion::NotHeld | HeldVersion::Unanswered if is_recorded() => (lookup, "record"),
+            HeldVersion::NotHeld => (lookup, "default"),
+            HeldVersion::Unanswered => (UNREAD, ""),
+        }
+    }
+
     /// Waits until the list of endpoints tells that the stream began at the only version that has
     /// served.
     async fn look_up_in_list(&self, job: &Job) -> Option<Version> {
@@ -430,7 +545,7 @@
 
     /// Looks the stream up until the log was read as far as it is needed, or reads do not count
     /// yet.
-    async fn read_origin(&self, job: &Job) -> Lookup {
+    async fn read_log_for(&self, job: &Job) -> Lookup {
         let mut has_read = false;
         loop {
             let lookup = {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,6 +10,7 @@
 use lentil_core::{Refusal, RefusalReason, Span, Time, TokenCount};
 use lentil_fleet::{AttemptResult, GenerationSize, VersionNeed};
 use lentil_handoff::{BodyFraming, EndedBody, StopOrder};
+use lentil_rollout::Version;
 use lentil_stream::{EventSplitter, SplitError};
 
 use crate::attempt::{Job, OpenedResponse, seconds};
@@ -17,6 +18,7 @@
 use crate::body::{BodyInterrupted, ChunkJoiner, ResponseBody};
 use crate::endpoints::{Attestation, KvCopy, Reply, Resume, SendError};
 use crate::gateway::{Gateway, Permit};
+use crate::origins::Recorded;
 use crate::poison::{self, AnswerProgress, LostAnswer};
 use crate::request::GatewayResponse;
 use crate::rollout_evidence::ActiveRequest;
@@ -133,56 +135,31 @@
         last_event_id: Some(after),
         kv_copy: None,
     });
-    if resume.is_some() && job.route.is_retryable() {
+    let is_new = resume.is_none();
+    if !is_new && job.route.is_retryable() {
         let version = gateway.find_origin(&job).await?;
         job.require_version(version);
+    } else if let Some(version) = gateway.unrecorded_version(&job) {
+        job.note("begins where it needs no record".to_owned());
+        job.require_version(version);
     }
     let opened = gateway
         .open_response(&job, resume, TokenCount::ZERO)
         .await?;
     let OpenedResponse { reply, permit } = opened;
-    let status = reply.status;
-    if !status.is_success() {
-        let headers = reply.headers;
-        let body = gateway
-            .response_buffers
-            .collect(reply.body)
-            .await
-            .map_err(|_| job.refuse(RefusalReason::EndpointFailed, None))?;
-        let end = gateway.ended_body(&job, &permit, reply.framing);
-        if !job.check_complete(&end) {
-            return Err(job.refuse(RefusalReason::EndpointFailed, None));
-        }
-        gateway.metrics.count_request("answered");
-        job.log_outcome(&gateway, status.as_str());
-        let body = ResponseBody::from(body);
+    if !reply.status.is_success() {
+        return answer_failure(&gateway, &job, reply, &permit).await;
+    }
+    let mut relay = StreamRelay::new(Rc::clone(&gateway), Rc::clone(&job), permit, reply);
+    let Some(first) = relay.begin(is_new).await? else {
+        let (status, headers) = relay.head.clone();
         return Ok(GatewayResponse::Endpoint {
             status,
             headers,
-            body,
+            body: ResponseBody::from(Bytes::new()),
         });
-    }
-    let mut relay = StreamRelay::new(Rc::clone(&gateway), Rc::clone(&job), permit, reply);
-    let first = match relay.next().await {
-        Some(Ok(first)) => first,
-        Some(Err(BodyInterrupted)) => {
-            relay.end_reason = Some("lost before the first event");
-            let reason = relay.refused_for.unwrap_or(RefusalReason::EndpointFailed);
-            return Err(job.refuse(reason, None));
-        }
-        None => {
-            let (status, headers) = relay.head.clone();
-            return Ok(GatewayResponse::Endpoint {
-                status,
-                headers,
-                body: ResponseBody::from(Bytes::new()),
-            });
-        }
     };
     let (status, headers) = relay.head.clone();
-    gateway
-        .record_origin(&job, relay.permit.place.version.clone())
-        .await;
     let took = gateway.now().since(job.arrived);
     gateway.metrics.first_event_s.observe(seconds(took));
     job.note(format!("first event at {} ms", took.as_ms()));
@@ -206,6 +183,33 @@
     })
 }
 
+/// Answers a request with the failure that an endpoint reported.
+async fn answer_failure(
+    gateway: &Gateway,
+    job: &Job,
+    reply: Reply,
+    permit: &Permit,
+) -> Result<GatewayResponse, Refusal> {
+    let (status, headers) = (reply.status, reply.headers);
+    let body = gateway
+        .response_buffers
+        .collect(reply.body)
+        .await
+        .map_err(|_| job.refuse(RefusalReason::EndpointFailed, None))?;
+    let end = gateway.ended_body(job, permit, reply.framing);
+    if !job.check_complete(&end) {
+        return Err(job.refuse(RefusalReason::EndpointFailed, None));
+    }
+    gateway.metrics.count_request("answered");
+    job.log_outcome(gateway, status.as_str());
+    let body = ResponseBody::from(body);
+    Ok(GatewayResponse::Endpoint {
+        status,
+        headers,
+        body,
+    })
+}
+
 impl StreamRelay {
     fn new(gateway: Rc<Gateway>, job: Rc<Job>, permit: Permit, reply: Reply) -> Self {
         let (prompt_tokens, output) = job.token_estimate().unwrap_or_default();
@@ -244,6 +248,64 @@
         }
     }
 
+    /// Returns the first events, or `None` if the stream has none, once other gateways can tell the
+    /// version that wrote them. A new stream that can't be recorded runs again where it needs no record.
+    async fn begin(&mut self, is_new: bool) -> Result<Option<Bytes>, Refusal> {
+        let Some(first) = self.first().await? else {
+            return Ok(None);
+        };
+        let version = self.permit.place.version.clone();
+        let recorded = self.gateway.record_origin(&self.job, version.clone()).await;
+        if !is_new || recorded != Recorded::Nowhere {
+            return Ok(Some(first));
+        }
+        match self.gateway.unrecorded_version(&self.job) {
+            Some(other) if other != version => self.restart_at(other).await,
+            Some(_) | None => Ok(Some(first)),
+        }
+    }
+
+    /// Returns the first events, or `None` if the stream has none.
+    async fn first(&mut self) -> Result<Option<Bytes>, Refusal> {
+        let first = self.next().await.transpose();
+        first.map_err(|BodyInterrupted| {
+            self.end_reason = Some("lost before the first event");
+            let reason = self.refused_for.unwrap_or(RefusalReason::EndpointFailed);
+            self.job.refuse(reason, None)
+        })
+    }
+
+    /// Drops the first events, of which the caller has got none, and runs the request again at another
+    /// version, where the stream needs no record. Returns the first events from there.
+    async fn restart_at(&mut self, version: Option<Version>) -> Result<Option<Bytes>, Refusal> {
+        let endpoint = &self.permit.place.endpoint;
+        self.job.note(format!(
+            "{endpoint} has begun a stream that can't be recorded"
+        ));
+        self.job.require_version(version);
+        if !self.job.take_retry(&self.gateway) {
+            self.end_reason = Some("not recorded");
+            return Err(self.job.refuse(RefusalReason::LogUnavailable, None));
+        }
+        // The engine stops the run when its connection closes.
+        self.body = futures_util::stream::empty().boxed_local();
+        self.last_event_id = None;
+        self.generated_tokens = TokenCount::ZERO;
+        self.established_at = None;
+        self.run_guard.run.started.set(false);
+        match self.resume_elsewhere().await {
+            BodyEnd::Continued => {
+                // The wait for the first event is not limited.
+                self.stalled_at = Time::NEVER;
+                self.first().await
+            }
+            BodyEnd::Complete | BodyEnd::Lost => {
+                self.end_reason = Some("not recorded");
+                Err(self.job.refuse(RefusalReason::LogUnavailable, None))
+            }
+        }
+    }
+
     /// Returns the next complete events. Fails at the caller's deadline.
     async fn next_before_deadline(&mut self) -> Option<Result<Bytes, BodyInterrupted>> {
         let deadline = self.gateway.instant(self.job.deadline);
@@ -578,6 +640,7 @@
         if !may_rerun {
             return BodyEnd::Lost;
         }
+        self.permit.record_result(AttemptResult::Failed);
         self.resume_elsewhere().await
     }
 
@@ -688,7 +751,6 @@
 
     /// Resumes the stream at another engine, without a copy of the KV cache.
     async fn resume_elsewhere(&mut self) -> BodyEnd {
-        self.permit.record_result(AttemptResult::Failed);
         let resume = Resume {
             last_event_id: self.last_event_id,
             kv_copy: None,
--- a/crates/lentiltray/src/command/observer.rs
+++ b/crates/lentiltray/src/command/observer.rs
@@ -11,7 +11,7 @@
 use lentil_adapter::{HttpEndpointClient, MetricsHandler, StoreClient};
 use lentil_gateway::{
     ConnectionPool, Connections, Observer, ObserverMetrics, ObserverOptions, ObserverSources,
-    RecordLog, ShutdownStage, serve,
+    OriginLog, RecordLog, ShutdownStage, serve,
 };
 use lentil_settings::NodeRole;
 use lentil_shell::{BootClock, StopSignals, spawn_io};
@@ -59,10 +59,10 @@
     let store = settings.store;
     let _observer = Observer::start(options, move || {
         let pool = ConnectionPool::default();
+        let store = store.map(|store| Rc::new(StoreClient::new(pool.clone(), store, clock)));
         ObserverSources {
-            log: store.map(|store| -> Rc<dyn RecordLog> {
-                Rc::new(StoreClient::new(pool.clone(), store, clock))
-            }),
+            log: store.clone().map(|store| -> Rc<dyn RecordLog> { store }),
+            origin_log: store.map(|store| -> Rc<dyn OriginLog> { store }),
             engine_client: Rc::new(HttpEndpointClient::new(pool, clock)),
         }
     })
--- a/crates/lentiltray/tests/it/fake_store.rs
+++ b/crates/lentiltray/tests/it/fake_store.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -85,7 +84,7 @@
 /// A further address of a fake store.
 pub(crate) struct StoreLink {
     server: Server,
-    is_cut: Arc<AtomicBool>,
+    mode: Arc<Mutex<StoreMode>>,
 }
 
 impl StoreLink {
@@ -95,14 +94,23 @@
 
     /// Sets whether requests to this address get no response, as those of [`StoreMode::Silent`].
     pub(crate) fn set_cut(&self, is_cut: bool) {
-        self.is_cut.store(is_cut, Ordering::SeqCst);
+        self.set_mode(if is_cut {
+            StoreMode::Silent
+        } else {
+            StoreMode::Serving
+        });
+    }
+
+    /// Sets how the store responds to requests to this address, if it serves at all.
+    pub(crate) fn set_mode(&self, mode: StoreMode) {
+        *self.mode.lock().unwrap() = mode;
     }
 }
 
-fn start_server(state: &Arc<Mutex<State>>, is_cut: &Arc<AtomicBool>) -> Server {
-    let (state, is_cut) = (Arc::clone(state), Arc::clone(is_cut));
+fn start_server(state: &Arc<Mutex<State>>, link_mode: &Arc<Mutex<StoreMode>>) -> Server {
+    let (state, mode) = (Arc::clone(state), Arc::clone(link_mode));
     let handler =
-        move |request: &Request, stream: &mut TcpStream| serve(&state, &is_cut, request, stream);
+        move |request: &Request, stream: &mut TcpStream| serve(&state, &mode, request, stream);
     Server::start(Arc::new(handler))
 }
 
@@ -124,9 +132,9 @@
 
     /// Opens a further address of the store, for clients that are to be cut off from it alone.
     pub(crate) fn open_link(&self) -> StoreLink {
-        let is_cut = Arc::default();
-        let server = start_server(&self.state, &is_cut);
-        StoreLink { server, is_cut }
+        let mode = Arc::default();
+        let server = start_server(&self.state, &mode);
+        StoreLink { server, mode }
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
@@ -259,13 +267,21 @@
 
 fn serve(
     state: &Mutex<State>,
-    is_cut: &AtomicBool,
+    link_mode: &Mutex<StoreMode>,
     request: &Request,
     stream: &mut TcpStream,
 ) -> ConnectionAction {
-    if is_cut.load(Ordering::SeqCst) {
-        std::thread::sleep(SILENT_TIME);
-        return ConnectionAction::Close;
+    let mode = *link_mode.lock().unwrap();
+    match mode {
+        StoreMode::Silent => {
+            std::thread::sleep(SILENT_TIME);
+            return ConnectionAction::Close;
+        }
+        StoreMode::Closing => return ConnectionAction::Close,
+        StoreMode::Refusing(status) => {
+            return write_response(stream, &response_with_length(status, "", b""));
+        }
+        StoreMode::Serving | StoreMode::OrderReads(_) => {}
     }
     let mode = {
         let mut state = state.lock().unwrap();
@@ -311,13 +327,18 @@
         let state = state.lock().unwrap();
         (state.mode, state.era.clone())
     };
-    let is_cut = is_cut.load(Ordering::SeqCst);
+    // A call that began before a link changed its mode gets no response either.
+    let mode = match *link_mode.lock().unwrap() {
+        StoreMode::Closing => StoreMode::Closing,
+        StoreMode::Silent => StoreMode::Silent,
+        StoreMode::Serving | StoreMode::Refusing(_) | StoreMode::OrderReads(_) => mode,
+    };
     match mode {
         StoreMode::Closing => ConnectionAction::Close,
-        StoreMode::Serving | StoreMode::Refusing(_) | StoreMode::OrderReads(_) if !is_cut => {
+        StoreMode::Serving | StoreMode::Refusing(_) | StoreMode::OrderReads(_) => {
             write_response(stream, &with_era(bytes, era.as_deref()))
         }
-        _ => {
+        StoreMode::Silent => {
             std::thread::sleep(SILENT_TIME);
             ConnectionAction::Close
         }
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -70,5 +70,6 @@
 mod taken_up_streams;
 mod tls_connections;
 mod trace_propagation;
+mod unrecorded_streams;
 mod version_choice;
 mod version_fleet;
--- a/crates/lentiltray/tests/it/taken_up_streams.rs
+++ b/crates/lentiltray/tests/it/taken_up_streams.rs
@@ -384,7 +384,7 @@
 /// Streams waited for records that can't be written, or these were lost when the log was
 /// back.
 fn write_record_later(test: &str, fault: CallFault) {
-    let fleet = Fleet::start_overlap(test, 2, &config(1));
+    let fleet = Fleet::start_observed_overlap(test, 2, &config(1));
     std::thread::sleep(SETTLE_TIME);
     let appended = fleet.store.appended_streams();
     fleet.store.set_append_fault(Some(fault));
--- a/crates/lentiltray/tests/it/version_fleet.rs
+++ b/crates/lentiltray/tests/it/version_fleet.rs
@@ -11,7 +11,7 @@
 use crate::fake_http::{
     ClientConnection, ConnectionAction, ReceivedResponse, Request, chunk, response_with_length,
 };
-use crate::fake_store::Store;
+use crate::fake_store::{Store, StoreLink};
 use crate::gateway_harness::{
     Replica, config, free_port, readiness, register_version, signature_headers, start_gateway_at,
     start_observer, wait_until, write_response,
@@ -166,11 +166,19 @@
 
     /// Like [`Self::start`], with two engines of version `v2` that have joined later.
     pub(crate) fn start_overlap(test: &str, gateways: usize, config: &Value) -> Self {
-        let mut fleet = Self::start(test, gateways, config);
+        Self::start(test, gateways, config).with_second_version()
+    }
+
+    /// Like [`Self::start_overlap`], with an observer beside each engine.
+    pub(crate) fn start_observed_overlap(test: &str, gateways: usize, config: &Value) -> Self {
+        Self::start_observed(test, gateways, config).with_second_version()
+    }
+
+    fn with_second_version(mut self) -> Self {
         for _ in 0..2 {
-            fleet.add_engine("v2", EngineOptions::default());
+            self.add_engine("v2", EngineOptions::default());
         }
-        fleet
+        self
     }
 
     /// Starts an engine and waits until all gateways know it.
@@ -255,6 +263,25 @@
         gateway
     }
 
+    /// Starts a gateway that reaches the store through a link.
+    pub(crate) fn add_gateway_at(&mut self, link: &StoreLink) {
+        let gateway = self.start_gateway(link.address());
+        self.gateways.push(gateway);
+    }
+
+    /// Kills the observer of an engine.
+    pub(crate) fn kill_observer(&mut self, engine: usize) {
+        self.observers[engine].kill();
+        self.observers[engine].wait();
+    }
+
+    /// Starts an observer of an engine in place of one that was killed.
+    pub(crate) fn restart_observer(&mut self, engine: usize) {
+        let port = self.observer_port.unwrap();
+        let replica = &self.engines[engine].replica;
+        self.observers[engine] = start_observer(&self.test, replica, port, Some(&self.store));
+    }
+
     /// Takes a gateway out of the fleet, which no longer waits for it.
     pub(crate) fn take_gateway(&mut self, gateway: usize) -> DaemonProcess {
         self.gateways.remove(gateway)
--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -18,15 +18,23 @@
 //!   has reached the caller, as the first record of a stream holds.
 //! - A record counts as written when the answer to its own append says so. Appends that were not
 //!   answered are repeated.
+//! - A record that can't be appended is held by observers, and the first event waits until they
+//!   confirm it. Without a record in the log, a stream's holders are asked before the default counts.
+//! - A new stream whose record neither the log nor a holder has taken is not passed on, but runs
+//!   again at the default.
 //! - After a restore of the store, reads are forgotten and own records appended again.
 //!
 //! This crate has no clock and no I/O; callers pass in the current time.
 
+mod held_records;
+mod holders;
 mod origins;
 mod records;
 mod service;
 mod stream_key;
 
+pub use held_records::{HeldRecords, HeldRecordsFull};
+pub use holders::{HOLDER_ANSWERS, HOLDERS, HOLDERS_MAX, Holder, rank_holders};
 pub use origins::{DefaultChange, Lookup, Origins};
 pub use records::StreamRecord;
 pub use service::VersionCounts;
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -171,6 +171,30 @@
         default.is_none_or(|default| default.as_ref() != version)
     }
 
+    /// The default version of a service that was last read, also if it may have changed since. The
+    /// holders of streams are ranked by it.
+    #[must_use]
+    pub fn last_default(&self, service: &ServiceName) -> Option<&Option<Version>> {
+        self.services.get(service)?.last_default()
+    }
+
+    /// The longest time after its first event at which a stream of the service may be taken up.
+    #[must_use]
+    pub fn take_up_time(&self, service: &ServiceName) -> Span {
+        let versions = self.services.get(service);
+        versions.map_or(UNKNOWN_TAKE_UP_TIME, ServiceVersions::take_up_time)
+    }
+
+    /// The version at which a stream has to begin that can't be recorded anywhere: the default that
+    /// was last read. Without endpoints of it no stream can go on there, so that any version is
+    /// possible.
+    #[must_use]
+    pub fn unrecorded_version(&self, service: &ServiceName) -> Option<&Option<Version>> {
+        let versions = self.services.get(service)?;
+        let default = versions.last_default();
+        default.filter(|default| versions.is_listed(default))
+    }
+
     /// Returns the version at which a stream began that a request of `arrived_at` takes up.
     #[must_use]
     pub fn look_up(
--- a/crates/origin/src/records.rs
+++ b/crates/origin/src/records.rs
@@ -8,7 +8,7 @@
 use crate::StreamKey;
 
 /// Maximum number of records that are kept. With more, those that expire first are dropped.
-const RECORDS_MAX: usize = 65_536;
+pub(crate) const RECORDS_MAX: usize = 65_536;
 
 /// The version at which a stream began; `None` stands for endpoints that state no valid one.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/origin/src/service.rs
+++ b/crates/origin/src/service.rs
@@ -116,6 +116,16 @@
         }
     }
 
+    /// The last default that the log held.
+    pub(crate) const fn last_default(&self) -> Option<&Option<Version>> {
+        self.last_default.as_ref()
+    }
+
+    /// Whether the version has endpoints.
+    pub(crate) fn is_listed(&self, version: &Option<Version>) -> bool {
+        self.counts.contains_key(version)
+    }
+
     pub(crate) fn forget_read(&mut self) {
         self.default = None;
     }
--- a/crates/origin/tests/it/main.rs
+++ b/crates/origin/tests/it/main.rs
@@ -9,6 +9,8 @@
 
 mod default_versions;
 mod fixtures;
+mod held_records;
+mod holders;
 mod look_ups;
 mod model;
 mod records;
