Refuse a stream that nobody could record, instead of running it again

Seen by a test: a stream that began at the default went on at the newer version. Its attempt had run at the newer one before, and neither the log nor an observer had confirmed the record. The append had been carried out all the same, its answer was lost, and the first record of a stream holds.

The caller's repeat has an attempt of its own and begins at the default. The former way saved the repeat but had no key of its own.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,14 +10,13 @@
 use lentil_core::{Refusal, RefusalReason, Span, Time, TokenCount};
 use lentil_fleet::{AttemptResult, GenerationSize, VersionNeed};
 use lentil_handoff::{BodyFraming, EndedBody, StopOrder};
-use lentil_rollout::Version;
 use lentil_stream::{EventSplitter, SplitError};
 
 use crate::attempt::{Job, OpenedResponse, seconds};
 use crate::backups::Backup;
 use crate::body::{BodyInterrupted, ChunkJoiner, ResponseBody};
 use crate::endpoints::{Attestation, KvCopy, Reply, Resume, SendError};
-use crate::gateway::{Gateway, Permit};
+use crate::gateway::{Gateway, Permit, RETRY_AFTER_STORE_FAILURE};
 use crate::origins::Recorded;
 use crate::poison::{self, AnswerProgress, LostAnswer};
 use crate::request::GatewayResponse;
@@ -249,20 +248,24 @@
     }
 
     /// Returns the first events, or `None` if the stream has none, once other gateways can tell the
-    /// version that wrote them. A new stream that can't be recorded runs again where it needs no record.
+    /// version that wrote them. A new stream of which nobody else could tell it is refused. It can't
+    /// run at another version under the same attempt, as its record may still turn up.
     async fn begin(&mut self, is_new: bool) -> Result<Option<Bytes>, Refusal> {
         let Some(first) = self.first().await? else {
             return Ok(None);
         };
         let version = self.permit.place.version.clone();
         let recorded = self.gateway.record_origin(&self.job, version.clone()).await;
-        if !is_new || recorded != Recorded::Nowhere {
-            return Ok(Some(first));
-        }
-        match self.gateway.unrecorded_version(&self.job) {
-            Some(other) if other != version => self.restart_at(other).await,
-            Some(_) | None => Ok(Some(first)),
+        let must_begin_at = self.gateway.unrecorded_version(&self.job);
+        if is_new
+            && recorded == Recorded::Nowhere
+            && must_begin_at.is_some_and(|other| other != version)
+        {
+            self.end_reason = Some("not recorded");
+            let refusal = Refusal::unknown(RefusalReason::LogUnavailable);
+            return Err(refusal.retry_after(RETRY_AFTER_STORE_FAILURE));
         }
+        Ok(Some(first))
     }
 
     /// Returns the first events, or `None` if the stream has none.
@@ -275,37 +278,6 @@
         })
     }
 
-    /// Drops the first events, of which the caller has got none, and runs the request again at another
-    /// version, where the stream needs no record. Returns the first events from there.
-    async fn restart_at(&mut self, version: Option<Version>) -> Result<Option<Bytes>, Refusal> {
-        let endpoint = &self.permit.place.endpoint;
-        self.job.note(format!(
-            "{endpoint} has begun a stream that can't be recorded"
-        ));
-        self.job.require_version(version);
-        if !self.job.take_retry(&self.gateway) {
-            self.end_reason = Some("not recorded");
-            return Err(self.job.refuse(RefusalReason::LogUnavailable, None));
-        }
-        // The engine stops the run when its connection closes.
-        self.body = futures_util::stream::empty().boxed_local();
-        self.last_event_id = None;
-        self.generated_tokens = TokenCount::ZERO;
-        self.established_at = None;
-        self.run_guard.run.started.set(false);
-        match self.resume_elsewhere().await {
-            BodyEnd::Continued => {
-                // The wait for the first event is not limited.
-                self.stalled_at = Time::NEVER;
-                self.first().await
-            }
-            BodyEnd::Complete | BodyEnd::Lost => {
-                self.end_reason = Some("not recorded");
-                Err(self.job.refuse(RefusalReason::LogUnavailable, None))
-            }
-        }
-    }
-
     /// Returns the next complete events. Fails at the caller's deadline.
     async fn next_before_deadline(&mut self) -> Option<Result<Bytes, BodyInterrupted>> {
         let deadline = self.gateway.instant(self.job.deadline);
@@ -640,7 +612,6 @@
         if !may_rerun {
             return BodyEnd::Lost;
         }
-        self.permit.record_result(AttemptResult::Failed);
         self.resume_elsewhere().await
     }
 
@@ -751,6 +722,7 @@
 
     /// Resumes the stream at another engine, without a copy of the KV cache.
     async fn resume_elsewhere(&mut self) -> BodyEnd {
+        self.permit.record_result(AttemptResult::Failed);
         let resume = Resume {
             last_event_id: self.last_event_id,
             kv_copy: None,
