Keep holders of streams through changes of the endpoints

Cause: the model of lentil-origin, with observers, gateways that the store turns away and appends that fail, showed two ways in which records were not found. Holders were ranked with those at the default version first, so that endpoints of the default that had just joined took the place of all of them. And holders left or restarted while the record was not in the log.

A gateway has its records held again every second until they are in the log.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -41,6 +41,7 @@
 use crate::serve::DEFAULT_TIMEOUT;
 use crate::status_log::StatusLog;
 use crate::store_feed::{EndpointChange, ReadCatalog};
+use crate::stream_holders;
 use crate::wait_queue::{Wait, WaitQueue};
 
 /// `retry-after` of a refusal when no endpoint can take the request now.
@@ -370,6 +371,7 @@
     pub async fn run_timers(self: Rc<Self>) {
         tokio::task::spawn_local(rollout_exchange::run(Rc::clone(&self)));
         tokio::task::spawn_local(origins::run_appends(Rc::clone(&self)));
+        tokio::task::spawn_local(stream_holders::run_holds(Rc::clone(&self)));
         loop {
             let woken = tokio::time::timeout(self.dispatch_delay(), self.wake.notify.notified());
             let is_timer = woken.await.is_err();
--- a/crates/gateway/src/held_streams.rs
+++ b/crates/gateway/src/held_streams.rs
@@ -43,18 +43,20 @@
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Holds a record for a gateway.
+    /// Holds records for a gateway.
     pub(crate) fn hold(
         &self,
-        request: &v1::HoldStreamRequest,
-    ) -> Result<v1::HoldStreamReply, Status> {
-        let record = parse_record(request.stream.as_ref().ok_or(InvalidStream)?)?;
+        request: &v1::HoldStreamsRequest,
+    ) -> Result<v1::HoldStreamsReply, Status> {
         let now = self.clock.now();
-        let expires_at = now + Span::from_ms(request.keep_ms).min(KEEP_MAX);
-        let held = self.records().hold(now, record, expires_at);
-        held.map_err(|error| Status::resource_exhausted(error.to_string()))?;
+        for stream in &request.streams {
+            let record = parse_record(stream.origin.as_ref().ok_or(InvalidStream)?)?;
+            let expires_at = now + Span::from_ms(stream.keep_ms).min(KEEP_MAX);
+            let held = self.records().hold(now, record, expires_at);
+            held.map_err(|error| Status::resource_exhausted(error.to_string()))?;
+        }
         self.appends_due.notify_one();
-        Ok(v1::HoldStreamReply {})
+        Ok(v1::HoldStreamsReply {})
     }
 
     /// Looks up the record of a stream for a gateway.
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -432,10 +432,10 @@
         Ok(Response::new(reply))
     }
 
-    async fn hold_stream(
+    async fn hold_streams(
         &self,
-        request: Request<v1::HoldStreamRequest>,
-    ) -> Result<Response<v1::HoldStreamReply>, Status> {
+        request: Request<v1::HoldStreamsRequest>,
+    ) -> Result<Response<v1::HoldStreamsReply>, Status> {
         let reply = self.held_streams.hold(request.get_ref())?;
         Ok(Response::new(reply))
     }
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -22,7 +22,7 @@
 use crate::origin_log::{OriginLog, ReadDefaults};
 use crate::status_log::WriteOutcome;
 use crate::store_feed::StoreError;
-use crate::stream_holders::HeldVersion;
+use crate::stream_holders::{HeldRecord, HeldVersion, OwnHeldRecords};
 
 /// Shortest interval between two appends of a gateway.
 const APPEND_INTERVAL_MIN: Span = Span::from_ms(10);
@@ -36,7 +36,7 @@
 const APPEND_WAIT: Duration = Duration::from_millis(400);
 /// Time for which new streams are placed where they need no record, after neither the log nor an
 /// observer has taken one.
-const UNRECORDED_TIME: Span = Span::from_ms(2_000);
+const UNRECORDED_TIME: Span = Span::from_ms(5_000);
 /// Delay before an append that failed is repeated.
 const APPEND_RETRY_DELAY: Duration = Duration::from_millis(150);
 /// Maximum number of records that wait to be appended; beyond it the oldest are dropped.
@@ -98,6 +98,8 @@
     origins: RefCell<Origins>,
     pending: RefCell<VecDeque<PendingRecord>>,
     appends_due: Notify,
+    /// The records that observers hold, as they are not in the log yet.
+    pub(crate) held: OwnHeldRecords,
     /// The last records that were queued, and when.
     recent: RefCell<VecDeque<(Time, StreamRecord)>>,
     /// The latest era of the store that is known.
@@ -132,6 +134,7 @@
             origins: RefCell::default(),
             pending: RefCell::default(),
             appends_due: Notify::new(),
+            held: OwnHeldRecords::default(),
             recent: RefCell::default(),
             era: Cell::default(),
             failing: Cell::default(),
@@ -270,6 +273,7 @@
                 if self.failing.replace(false) {
                     log::info!("the versions of streams are recorded again");
                 }
+                self.held.remove(&records);
                 for appended in batch.into_iter().filter_map(|it| it.appended) {
                     // Streams do not wait for longer than their records need.
                     let _ = appended.send(());
@@ -419,7 +423,12 @@
             }
         }
         let keep = self.origins.origins.borrow().take_up_time(&job.service);
-        if self.hold_record(job, &record, keep).await {
+        let held = HeldRecord {
+            service: job.service.clone(),
+            record,
+            expires_at: self.now() + keep,
+        };
+        if self.hold_record(held).await {
             Recorded::Held
         } else {
             Recorded::Nowhere
--- a/crates/gateway/src/stream_holders.rs
+++ b/crates/gateway/src/stream_holders.rs
@@ -1,5 +1,7 @@
 //! Records of streams at observers, which hold them while a gateway can't append them to the log.
 
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -7,8 +9,10 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use lentil_core::Span;
-use lentil_origin::{HOLDER_ANSWERS, HOLDERS, Holder, StreamKey, StreamRecord, rank_holders};
+use lentil_core::{ServiceName, Time};
+use lentil_origin::{
+    HOLDER_ANSWERS, HOLDERS, HOLDERS_ASKED, Holder, StreamKey, StreamRecord, rank_holders,
+};
 use lentil_rollout::Version;
 use lentil_wire::v1;
 use tonic::{Code, Status};
@@ -19,6 +23,11 @@
 /// Longest wait for the answer of one holder.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Interval at which records are sent to their holders again while they are not in the log.
+const HOLD_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Maximum number of records for which this is done.
+const OWN_HELD_MAX: usize = 2_048;
+
 /// What the holders of a stream know about it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum HeldVersion {
@@ -64,73 +73,137 @@
     }
 }
 
+/// A record of this gateway that is not in the log yet.
+#[derive(Debug, Clone)]
+pub(crate) struct HeldRecord {
+    pub(crate) service: ServiceName,
+    pub(crate) record: StreamRecord,
+    /// When the stream can no longer be taken up.
+    pub(crate) expires_at: Time,
+}
+
+impl HeldRecord {
+    fn to_wire(&self, now: Time) -> v1::HeldStream {
+        v1::HeldStream {
+            origin: Some(to_wire(&self.record)),
+            keep_ms: self.expires_at.since(now).as_ms(),
+        }
+    }
+}
+
+/// The records of this gateway that observers hold, as they are not in the log yet.
+#[derive(Debug, Default)]
+pub(crate) struct OwnHeldRecords {
+    records: RefCell<BTreeMap<StreamKey, HeldRecord>>,
+}
+
+impl OwnHeldRecords {
+    /// Has a record held until it is in the log. With too many, the record is not sent to further
+    /// observers when its holders change.
+    fn insert(&self, held: HeldRecord) {
+        let mut records = self.records.borrow_mut();
+        if records.len() < OWN_HELD_MAX {
+            records.insert(held.record.key, held);
+        }
+    }
+
+    /// Drops records that are in the log.
+    pub(crate) fn remove(&self, appended: &[StreamRecord]) {
+        let mut records = self.records.borrow_mut();
+        for record in appended {
+            records.remove(&record.key);
+        }
+    }
+
+    fn current(&self, now: Time) -> Vec<HeldRecord> {
+        let mut records = self.records.borrow_mut();
+        records.retain(|_, held| !held.expires_at.has_passed(now));
+        records.values().cloned().collect()
+    }
+}
+
+/// Has observers hold this gateway's records again, until dropped: those that hold them may restart
+/// or leave.
+pub(crate) async fn run_holds(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(HOLD_INTERVAL).await;
+        let now = gateway.now();
+        let mut by_observer: BTreeMap<SocketAddr, Vec<v1::HeldStream>> = BTreeMap::new();
+        for held in gateway.origins.held.current(now) {
+            let holders = gateway.holders(&held.service, &held.record.key);
+            for holder in holders.into_iter().take(HOLDERS) {
+                let streams = by_observer.entry(holder.address).or_default();
+                streams.push(held.to_wire(now));
+            }
+        }
+        let calls = by_observer.into_iter().map(|(observer, streams)| {
+            let request = v1::HoldStreamsRequest { streams };
+            gateway.hold_at(observer, request)
+        });
+        futures_util::future::join_all(calls).await;
+    }
+}
+
 impl Gateway {
-    /// The holders of a stream's record, in the order in which they are asked.
-    fn holders(&self, job: &Job) -> Vec<Holder<SocketAddr>> {
+    /// The observers that may hold the record of a stream, in the order in which they are asked.
+    fn holders(&self, service: &ServiceName, key: &StreamKey) -> Vec<Holder<SocketAddr>> {
         let fleet = self.fleet.borrow();
-        let candidates = fleet.records(&job.service).map(|record| Holder {
+        let candidates = fleet.records(service).map(|record| Holder {
             endpoint: record.endpoint.clone(),
             version: record.version.clone(),
             address: self.observer_address(record.address),
         });
-        let default = self.origins.last_default(&job.service);
-        rank_holders(&job.stream_key(), default.as_ref(), candidates)
+        let default = self.origins.last_default(service);
+        rank_holders(key, default.as_ref(), candidates)
     }
 
-    /// Has observers hold the record of a stream for a time. Returns whether any of them does.
-    pub(crate) async fn hold_record(
-        self: &Rc<Self>,
-        job: &Job,
-        record: &StreamRecord,
-        keep: Span,
-    ) -> bool {
-        let request = v1::HoldStreamRequest {
-            stream: Some(to_wire(record)),
-            keep_ms: keep.as_ms(),
+    /// Has observers hold a record until it is in the log. Returns whether any of them does.
+    pub(crate) async fn hold_record(self: &Rc<Self>, held: HeldRecord) -> bool {
+        let request = v1::HoldStreamsRequest {
+            streams: vec![held.to_wire(self.now())],
         };
-        let mut held = 0;
-        for group in self.holders(job).chunks(HOLDERS) {
+        let holders = self.holders(&held.service, &held.record.key);
+        self.origins.held.insert(held);
+        let mut holding = 0;
+        for group in holders.chunks(HOLDERS) {
             // Calls go on in the background when enough holders have confirmed.
-            let mut calls: FuturesUnordered<_> = group
-                .iter()
-                .map(|holder| {
-                    let (gateway, request) = (Rc::clone(self), request.clone());
-                    let observer = holder.address;
-                    tokio::task::spawn_local(
-                        async move { gateway.hold_at(observer, request).await },
-                    )
-                })
-                .collect();
-            while held < HOLDER_ANSWERS
+            let calls = group.iter().map(|holder| {
+                let (gateway, request) = (Rc::clone(self), request.clone());
+                let observer = holder.address;
+                tokio::task::spawn_local(async move { gateway.hold_at(observer, request).await })
+            });
+            let mut calls: FuturesUnordered<_> = calls.collect();
+            while holding < HOLDER_ANSWERS
                 && let Some(call) = calls.next().await
             {
-                held += usize::from(call.unwrap_or(false));
+                holding += usize::from(call.unwrap_or(false));
             }
-            if held >= HOLDER_ANSWERS {
+            if holding >= HOLDER_ANSWERS {
                 break;
             }
         }
-        held > 0
+        holding > 0
     }
 
-    /// Has one observer hold a record. Returns whether it does.
-    async fn hold_at(&self, observer: SocketAddr, request: v1::HoldStreamRequest) -> bool {
+    /// Has one observer hold records. Returns whether it does.
+    async fn hold_at(&self, observer: SocketAddr, request: v1::HoldStreamsRequest) -> bool {
         let call = self.observer_clients.call(observer, async |mut client| {
-            client.hold_stream(request.clone()).await
+            client.hold_streams(request.clone()).await
         });
         let result = within_timeout(call).await;
         if let Err(status) = &result {
-            log::info!(observer:% = observer; "the observer does not hold a stream's version: {status}");
+            log::info!(observer:% = observer; "the observer does not hold versions of streams: {status}");
         }
         result.is_ok()
     }
 
     /// Asks the holders of a stream for its record.
     pub(crate) async fn find_held(&self, job: &Job) -> HeldVersion {
-        let key = job.stream_key().to_bytes().to_vec();
-        let holders = self.holders(job);
+        let key = job.stream_key();
+        let holders = self.holders(&job.service, &key);
+        let key = key.to_bytes().to_vec();
         let mut answered = 0;
-        for group in holders.chunks(HOLDERS) {
+        for group in holders.chunks(HOLDERS_ASKED) {
             let calls = group.iter().map(|holder| {
                 let key = key.clone();
                 self.find_at(holder.address, v1::FindStreamRequest { key })
--- a/crates/origin/src/lib.rs
+++ b/crates/origin/src/lib.rs
@@ -20,8 +20,8 @@
 //!   answered are repeated.
 //! - A record that can't be appended is held by observers, and the first event waits until they
 //!   confirm it. Without a record in the log, a stream's holders are asked before the default counts.
-//! - A new stream whose record neither the log nor a holder has taken is not passed on, but runs
-//!   again at the default.
+//! - A new stream whose record neither the log nor a holder has taken is not passed on. Its attempt
+//!   does not run at another version, as the record may still turn up.
 //! - After a restore of the store, reads are forgotten and own records appended again.
 //!
 //! This crate has no clock and no I/O; callers pass in the current time.
@@ -34,7 +34,7 @@
 mod stream_key;
 
 pub use held_records::{HeldRecords, HeldRecordsFull};
-pub use holders::{HOLDER_ANSWERS, HOLDERS, HOLDERS_MAX, Holder, rank_holders};
+pub use holders::{HOLDER_ANSWERS, HOLDERS, HOLDERS_ASKED, HOLDERS_MAX, Holder, rank_holders};
 pub use origins::{DefaultChange, Lookup, Origins};
 pub use records::StreamRecord;
 pub use service::VersionCounts;
