Play faults of the store and of observers against streams that are taken up

The first runs of seeds side by side failed at their start, as they shared a file of settings; its name has the seed now.

--- a/crates/lentiltray/tests/it/fake_store.rs
+++ b/crates/lentiltray/tests/it/fake_store.rs
@@ -70,6 +70,8 @@
     dropped_appends: usize,
     /// What becomes of all appends.
     append_fault: Option<CallFault>,
+    /// When that ends, if before it is set again.
+    append_fault_until: Option<Instant>,
     /// What becomes of reads of topics that are not in [`PLATFORM_TOPICS`].
     read_fault: Option<CallFault>,
     /// Number of records that calls have appended to topics of raw records.
@@ -81,10 +83,28 @@
     era: Option<String>,
 }
 
+/// How a link responds, and until when; it serves afterwards.
+#[derive(Debug, Default)]
+struct LinkMode {
+    mode: StoreMode,
+    until: Option<Instant>,
+}
+
+impl LinkMode {
+    fn current(&self) -> StoreMode {
+        let is_over = self.until.is_some_and(|until| until <= Instant::now());
+        if is_over {
+            StoreMode::Serving
+        } else {
+            self.mode
+        }
+    }
+}
+
 /// A further address of a fake store.
 pub(crate) struct StoreLink {
     server: Server,
-    mode: Arc<Mutex<StoreMode>>,
+    mode: Arc<Mutex<LinkMode>>,
 }
 
 impl StoreLink {
@@ -103,11 +123,17 @@
 
     /// Sets how the store responds to requests to this address, if it serves at all.
     pub(crate) fn set_mode(&self, mode: StoreMode) {
-        *self.mode.lock().unwrap() = mode;
+        *self.mode.lock().unwrap() = LinkMode { mode, until: None };
+    }
+
+    /// The same until a time.
+    pub(crate) fn set_mode_until(&self, mode: StoreMode, until: Instant) {
+        let until = Some(until);
+        *self.mode.lock().unwrap() = LinkMode { mode, until };
     }
 }
 
-fn start_server(state: &Arc<Mutex<State>>, link_mode: &Arc<Mutex<StoreMode>>) -> Server {
+fn start_server(state: &Arc<Mutex<State>>, link_mode: &Arc<Mutex<LinkMode>>) -> Server {
     let (state, mode) = (Arc::clone(state), Arc::clone(link_mode));
     let handler =
         move |request: &Request, stream: &mut TcpStream| serve(&state, &mode, request, stream);
@@ -226,7 +252,16 @@
 
     /// Sets what becomes of all further appends; reads are served as before.
     pub(crate) fn set_append_fault(&self, fault: Option<CallFault>) {
-        self.state.lock().unwrap().append_fault = fault;
+        let mut state = self.state.lock().unwrap();
+        state.append_fault = fault;
+        state.append_fault_until = None;
+    }
+
+    /// The same until a time.
+    pub(crate) fn set_append_fault_until(&self, fault: CallFault, until: Instant) {
+        let mut state = self.state.lock().unwrap();
+        state.append_fault = Some(fault);
+        state.append_fault_until = Some(until);
     }
 
     /// Sets what becomes of further reads of the topics that the gateways keep for
@@ -267,11 +302,11 @@
 
 fn serve(
     state: &Mutex<State>,
-    link_mode: &Mutex<StoreMode>,
+    link_mode: &Mutex<LinkMode>,
     request: &Request,
     stream: &mut TcpStream,
 ) -> ConnectionAction {
-    let mode = *link_mode.lock().unwrap();
+    let mode = link_mode.lock().unwrap().current();
     match mode {
         StoreMode::Silent => {
             std::thread::sleep(SILENT_TIME);
@@ -328,7 +363,7 @@
         (state.mode, state.era.clone())
     };
     // A call that began before a link changed its mode gets no response either.
-    let mode = match *link_mode.lock().unwrap() {
+    let mode = match link_mode.lock().unwrap().current() {
         StoreMode::Closing => StoreMode::Closing,
         StoreMode::Silent => StoreMode::Silent,
         StoreMode::Serving | StoreMode::Refusing(_) | StoreMode::OrderReads(_) => mode,
@@ -360,7 +395,10 @@
 fn call_fault(state: &Mutex<State>, request: &Request) -> Option<CallFault> {
     let state = state.lock().unwrap();
     if request.target.starts_with("/v1/log-append") {
-        return state.append_fault;
+        let is_over = state
+            .append_fault_until
+            .is_some_and(|until| until <= Instant::now());
+        return state.append_fault.filter(|_| !is_over);
     }
     let topic = request.query("topic").unwrap_or("");
     state
--- a/crates/lentiltray/tests/it/taken_up_play.rs
+++ b/crates/lentiltray/tests/it/taken_up_play.rs
@@ -1,5 +1,6 @@
-//! A seeded play of versions that come and leave, gateways that are killed, and callers
-//! that take streams up.
+//! Seeded plays of versions that come and leave, gateways that are killed, and callers
+//! that take streams up; one of them with a store that turns gateways away, and observers that
+//! restart.
 
 use std::time::{Duration, Instant};
 
@@ -8,6 +9,7 @@
 use rand::seq::IndexedRandom as _;
 use rand_chacha::ChaCha8Rng;
 
+use crate::fake_store::{CallFault, StoreLink, StoreMode};
 use crate::version_fleet::{
     Caller, EVENTS, EngineOptions, Fleet, READ_EVENTS, config_with_timeout,
 };
@@ -30,6 +32,15 @@
 /// Largest number of events that a caller reads in one step.
 const STEP_EVENTS: usize = 8;
 
+/// Mean number of steps between two faults of the store or of observers.
+const FAULT_STEPS: usize = 4;
+/// Longest time for which the store turns a gateway away, or refuses appends.
+const FAULT_MAX_MS: u64 = 1_500;
+/// Shortest time between two such faults of one kind.
+const FAULT_PAUSE: Duration = Duration::from_secs(1);
+/// Shortest time between two restarts of observers, in which gateways send them their records again.
+const OBSERVER_PAUSE: Duration = Duration::from_secs(3);
+
 /// The number that an environment variable holds.
 pub(crate) fn number_from(variable: &str, default: u64) -> u64 {
     std::env::var(variable)
@@ -38,9 +49,60 @@
         .unwrap_or(default)
 }
 
+/// The faults of a play's store and observers.
+struct Faults {
+    /// The links to the store, in the order of the fleet's gateways.
+    links: Vec<StoreLink>,
+    /// When the fault of links, that of appends and the pause after a restart of an observer end.
+    link_until: Instant,
+    appends_until: Instant,
+    observers_until: Instant,
+}
+
+impl Faults {
+    /// Begins a fault, unless the last one of its kind has only just ended.
+    fn begin(&mut self, fleet: &mut Fleet, rng: &mut ChaCha8Rng) {
+        let now = Instant::now();
+        let until = now + Duration::from_millis(rng.random_range(100..=FAULT_MAX_MS));
+        match rng.random_range(0..3) {
+            0 if self.link_until + FAULT_PAUSE <= now => {
+                let modes = [
+                    StoreMode::Refusing(503),
+                    StoreMode::Refusing(429),
+                    StoreMode::Silent,
+                    StoreMode::Closing,
+                ];
+                let count = rng.random_range(1..=self.links.len());
+                for link in &self.links[..count] {
+                    link.set_mode_until(*modes.choose(rng).unwrap(), until);
+                }
+                self.link_until = until;
+            }
+            1 if self.appends_until + FAULT_PAUSE <= now => {
+                let faults = [
+                    CallFault::Refused(503),
+                    CallFault::Unanswered,
+                    CallFault::AnswerLost,
+                ];
+                let fault = *faults.choose(rng).unwrap();
+                fleet.store.set_append_fault_until(fault, until);
+                self.appends_until = until;
+            }
+            2 if self.observers_until <= now => {
+                let engine = rng.random_range(0..fleet.engines());
+                fleet.kill_observer(engine);
+                fleet.restart_observer(engine);
+                self.observers_until = Instant::now() + OBSERVER_PAUSE;
+            }
+            _ => {}
+        }
+    }
+}
+
 /// The state of a play.
 struct Play {
     fleet: Fleet,
+    faults: Option<Faults>,
     rng: ChaCha8Rng,
     callers: Vec<Caller>,
     begun: usize,
@@ -59,6 +121,11 @@
     /// Does one random thing.
     fn step(&mut self) {
         self.callers.retain(|caller| caller.age() < AGE_MAX);
+        if let Some(faults) = &mut self.faults
+            && self.rng.random_range(0..FAULT_STEPS) == 0
+        {
+            faults.begin(&mut self.fleet, &mut self.rng);
+        }
         match self.rng.random_range(0..40) {
             0 => self.lose_gateways(1),
             1 => self.lose_gateways(GATEWAYS),
@@ -74,7 +141,15 @@
             self.fleet.kill_gateway(0);
         }
         for _ in 0..count {
-            self.fleet.add_gateway();
+            match &mut self.faults {
+                Some(faults) => {
+                    let link = self.fleet.store.open_link();
+                    self.fleet.add_gateway_at(&link);
+                    faults.links.remove(0);
+                    faults.links.push(link);
+                }
+                None => self.fleet.add_gateway(),
+            }
         }
     }
 
@@ -168,14 +243,14 @@
     }
 }
 
-/// Streams held events of two versions after some sequence of such events.
-#[test]
-fn random_play() {
+/// Plays until the time is over.
+fn play(fleet: Fleet, faults: Option<Faults>) {
     let seed = number_from("LENTIL_SEED", SEED);
     let until = Instant::now() + Duration::from_secs(number_from("LENTIL_PLAY_S", PLAY_S));
     println!("seed {seed}");
     let mut play = Play {
-        fleet: Fleet::start("random_play", GATEWAYS, &config_with_timeout(TIMEOUT)),
+        fleet,
+        faults,
         rng: ChaCha8Rng::seed_from_u64(seed),
         callers: Vec::new(),
         begun: 0,
@@ -196,3 +271,31 @@
     println!("{begun} begun, {taken_up} taken up, {refused} refused, {defaults} defaults");
     assert!(taken_up > 0);
 }
+
+/// Streams held events of two versions after some sequence of such events.
+#[test]
+fn random_play() {
+    let config = config_with_timeout(TIMEOUT);
+    play(Fleet::start("random_play", GATEWAYS, &config), None);
+}
+
+/// The same where the store turned gateways away or refused appends, and observers restarted.
+#[test]
+fn random_store_faults() {
+    let config = config_with_timeout(TIMEOUT);
+    let seed = number_from("LENTIL_SEED", SEED);
+    let test = format!("random_store_faults_{seed}");
+    let mut fleet = Fleet::start_observed(&test, 0, &config);
+    let links: Vec<_> = (0..GATEWAYS).map(|_| fleet.store.open_link()).collect();
+    for link in &links {
+        fleet.add_gateway_at(link);
+    }
+    let now = Instant::now();
+    let faults = Faults {
+        links,
+        link_until: now,
+        appends_until: now,
+        observers_until: now,
+    };
+    play(fleet, Some(faults));
+}
--- a/crates/lentiltray/tests/it/version_fleet.rs
+++ b/crates/lentiltray/tests/it/version_fleet.rs
@@ -313,6 +313,10 @@
         assert_eq!(failed, 0, "of {} streams", results.len());
     }
 
+    pub(crate) fn engines(&self) -> usize {
+        self.engines.len()
+    }
+
     pub(crate) fn gateways(&self) -> usize {
         self.gateways.len()
     }
