--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -69,7 +69,7 @@
     }
 
     /// Closes the connection to an observer, which may have become silent.
-    fn close(&self, observer: SocketAddr) {
+    pub(crate) fn close(&self, observer: SocketAddr) {
         self.clients.borrow_mut().remove(&observer);
     }
 }
--- a/crates/gateway/src/held_streams.rs
+++ b/crates/gateway/src/held_streams.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 use tonic::Status;
 
+use crate::metrics::ObserverMetrics;
 use crate::origin_log::OriginLog;
 use crate::stream_holders::{InvalidStream, parse_key, parse_record, to_wire};
 
@@ -18,6 +19,8 @@
 const KEEP_MAX: Span = Span::from_s(3_600);
 /// Delay before records are appended, so that those of one moment are appended together.
 const APPEND_DELAY: Duration = Duration::from_millis(100);
+/// Interval at which records are dropped whose streams can no longer be taken up.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 /// Longest delay before an append that failed is repeated.
 const APPEND_DELAY_MAX: Duration = Duration::from_millis(1_600);
 
@@ -26,14 +29,16 @@
 #[derive(Debug, Clone)]
 pub(crate) struct HeldStreams {
     clock: BootClock,
+    metrics: ObserverMetrics,
     records: Arc<Mutex<HeldRecords>>,
     appends_due: Arc<Notify>,
 }
 
 impl HeldStreams {
-    pub(crate) fn new(clock: BootClock) -> Self {
+    pub(crate) fn new(clock: BootClock, metrics: ObserverMetrics) -> Self {
         Self {
             clock,
+            metrics,
             records: Arc::default(),
             appends_due: Arc::default(),
         }
@@ -55,10 +60,16 @@
             let held = self.records().hold(now, record, expires_at);
             held.map_err(|error| Status::resource_exhausted(error.to_string()))?;
         }
+        self.count();
         self.appends_due.notify_one();
         Ok(v1::HoldStreamsReply {})
     }
 
+    fn count(&self) {
+        let held = i64::try_from(self.records().len()).unwrap_or(i64::MAX);
+        self.metrics.held_streams.set(held);
+    }
+
     /// Looks up the record of a stream for a gateway.
     pub(crate) fn find(
         &self,
@@ -77,9 +88,12 @@
         let mut failing = false;
         loop {
             let batch = self.records().next_append(self.clock.now());
+            self.count();
             if batch.is_empty() {
-                self.appends_due.notified().await;
-                tokio::time::sleep(APPEND_DELAY).await;
+                let due = self.appends_due.notified();
+                if tokio::time::timeout(EXPIRY_INTERVAL, due).await.is_ok() {
+                    tokio::time::sleep(APPEND_DELAY).await;
+                }
                 continue;
             }
             match log.append_records(&batch).await {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -357,6 +357,7 @@
     pub(crate) unanswered: Counter,
     pub(crate) followers: Gauge,
     pub(crate) link_requests: Counter,
+    pub(crate) held_streams: Gauge,
 }
 
 impl fmt::Debug for ObserverMetrics {
@@ -372,6 +373,7 @@
         let unanswered = Counter::default();
         let followers = Gauge::default();
         let link_requests = Counter::default();
+        let held_streams = Gauge::default();
         registry.register(
             "engine_answer_seconds",
             "Time of the engine's answers",
@@ -384,12 +386,18 @@
         );
         registry.register("followers", "Gateways that follow", followers.clone());
         registry.register("turns", "Turns on the engine's link", link_requests.clone());
+        registry.register(
+            "held_streams",
+            "Versions of streams held for gateways",
+            held_streams.clone(),
+        );
         Self {
             registry: Arc::new(Mutex::new(registry)),
             response_s,
             unanswered,
             followers,
             link_requests,
+            held_streams,
         }
     }
 }
--- a/crates/gateway/src/observer.rs
+++ b/crates/gateway/src/observer.rs
@@ -127,7 +127,7 @@
         let poll_state = shared.clone();
         let clock = options.clock;
         let relay = LogRelay::new(clock);
-        let held_streams = HeldStreams::new(clock);
+        let held_streams = HeldStreams::new(clock, options.metrics.clone());
         let engine = spawn_io("engine", {
             let (relay, held_streams) = (relay.clone(), held_streams.clone());
             move || {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -13,6 +13,7 @@
 use futures_util::future::{Either, select};
 use lentil_core::{NotRunProof, Refusal, RefusalReason, ServiceName, Span, StoreEra, Time};
 use lentil_feed::Position;
+use lentil_fleet::VersionNeed;
 use lentil_origin::{Lookup, Origins, StreamRecord, VersionCounts};
 use lentil_rollout::Version;
 use tokio::sync::{Mutex, Notify, oneshot, watch};
@@ -446,7 +447,12 @@
             return None;
         }
         let origins = origins.origins.borrow();
-        origins.unrecorded_version(&job.service).cloned()
+        let version = origins.unrecorded_version(&job.service)?.clone();
+        let need = VersionNeed::Only(version.clone());
+        let fleet = self.fleet.borrow();
+        fleet
+            .serves_version(self.now(), &job.service, &need)
+            .then_some(version)
     }
 
     /// Returns the version at which the stream began that a request takes up.
@@ -466,6 +472,7 @@
             }
         };
         self.metrics.count_take_up(result);
+        let source = if found.is_ok() { source } else { "" };
         let version = found.as_ref().ok().and_then(Option::as_ref);
         let version = version.map_or("", Version::as_str);
         let begun_by = job.request.resumes.as_ref().map_or("", |id| id.as_str());
@@ -523,7 +530,17 @@
         let (lookup, held) = match select(read, held).await {
             Either::Left((lookup, _)) if is_recorded() => return (lookup, "record"),
             Either::Left((lookup, held)) => (lookup, held.await),
-            Either::Right((held @ HeldVersion::Held(_), _)) => (UNREAD, held),
+            Either::Right((held @ HeldVersion::Held(_), read)) => {
+                // Without trust in the configuration the request would be refused. The store may
+                // be back in time for it.
+                if self
+                    .check_config_trusted(job.organisation.as_ref())
+                    .is_err()
+                {
+                    read.await;
+                }
+                (UNREAD, held)
+            }
             Either::Right((held, read)) => (read.await, held),
         };
         match held {
--- a/crates/gateway/src/stream_holders.rs
+++ b/crates/gateway/src/stream_holders.rs
@@ -190,7 +190,7 @@
         let call = self.observer_clients.call(observer, async |mut client| {
             client.hold_streams(request.clone()).await
         });
-        let result = within_timeout(call).await;
+        let result = self.within_timeout(observer, call).await;
         if let Err(status) = &result {
             log::info!(observer:% = observer; "the observer does not hold versions of streams: {status}");
         }
@@ -227,12 +227,28 @@
         }
     }
 
+    /// Waits for the answer of an observer. One that does not come in time ends the connection, which
+    /// may have become silent.
+    async fn within_timeout<T>(
+        &self,
+        observer: SocketAddr,
+        call: impl Future<Output = Result<tonic::Response<T>, Status>>,
+    ) -> Result<T, Status> {
+        let answered = tokio::time::timeout(HOLDER_TIMEOUT, call).await;
+        let answered = answered.map_err(|_| {
+            self.observer_clients.close(observer);
+            Status::deadline_exceeded("no answer in time")
+        })?;
+        answered.map(tonic::Response::into_inner)
+    }
+
     /// Asks one observer for a record. One that has ended, or that knows no such call, holds none.
     async fn find_at(&self, observer: SocketAddr, request: v1::FindStreamRequest) -> HeldVersion {
         let call = self.observer_clients.call(observer, async |mut client| {
             client.find_stream(request.clone()).await
         });
-        let found = within_timeout(call).await.and_then(|reply| {
+        let answered = self.within_timeout(observer, call).await;
+        let found = answered.and_then(|reply| {
             let stream = reply.stream.as_ref().map(parse_record);
             Ok(stream.transpose()?)
         });
@@ -250,14 +266,6 @@
     }
 }
 
-async fn within_timeout<T>(
-    call: impl Future<Output = Result<tonic::Response<T>, Status>>,
-) -> Result<T, Status> {
-    let answered = tokio::time::timeout(HOLDER_TIMEOUT, call).await;
-    let answered = answered.map_err(|_| Status::deadline_exceeded("no answer in time"))?;
-    answered.map(tonic::Response::into_inner)
-}
-
 /// Whether nothing listens at the address that was called.
 fn is_refused(status: &Status) -> bool {
     let mut source = status.source();
