--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,7 +10,7 @@
 //! the traits [`EndpointClient`], [`StoreFeed`] and [`RecordLog`]. An [`Observer`] runs
 //! next to each engine. It reports the engine's state to the gateways that follow it, and
 //! reads the store for the gateways of its availability zone, which ask it through a
-//! [`RelayedLog`].
+//! [`RelayedLog`]. It also holds the versions of streams that a gateway can't write to the log.
 
 mod adaptive;
 mod announcements;
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -23,7 +23,7 @@
 use crate::origin_log::{OriginLog, ReadDefaults};
 use crate::status_log::WriteOutcome;
 use crate::store_feed::StoreError;
-use crate::stream_holders::{HeldRecord, HeldVersion, OwnHeldRecords};
+use crate::stream_holders::{HeldVersion, UnwrittenRecord, UnwrittenRecords};
 
 /// Shortest interval between two appends of a gateway.
 const APPEND_INTERVAL_MIN: Span = Span::from_ms(10);
@@ -99,8 +99,8 @@
     origins: RefCell<Origins>,
     pending: RefCell<VecDeque<PendingRecord>>,
     appends_due: Notify,
-    /// The records that observers hold, as they are not in the log yet.
-    pub(crate) held: OwnHeldRecords,
+    /// The records that observers hold until they are in the log.
+    pub(crate) unwritten: UnwrittenRecords,
     /// The last records that were queued, and when.
     recent: RefCell<VecDeque<(Time, StreamRecord)>>,
     /// The latest era of the store that is known.
@@ -135,7 +135,7 @@
             origins: RefCell::default(),
             pending: RefCell::default(),
             appends_due: Notify::new(),
-            held: OwnHeldRecords::default(),
+            unwritten: UnwrittenRecords::default(),
             recent: RefCell::default(),
             era: Cell::default(),
             failing: Cell::default(),
@@ -274,7 +274,7 @@
                 if self.failing.replace(false) {
                     log::info!("the versions of streams are recorded again");
                 }
-                self.held.remove(&records);
+                self.unwritten.remove(&records);
                 for appended in batch.into_iter().filter_map(|it| it.appended) {
                     // Streams do not wait for longer than their records need.
                     let _ = appended.send(());
@@ -424,12 +424,12 @@
             }
         }
         let keep = self.origins.origins.borrow().take_up_time(&job.service);
-        let held = HeldRecord {
+        let unwritten = UnwrittenRecord {
             service: job.service.clone(),
             record,
             expires_at: self.now() + keep,
         };
-        if self.hold_record(held).await {
+        if self.hold_record(unwritten).await {
             Recorded::Held
         } else {
             Recorded::Nowhere
--- a/crates/gateway/src/stream_holders.rs
+++ b/crates/gateway/src/stream_holders.rs
@@ -22,11 +22,10 @@
 
 /// Longest wait for the answer of one holder.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Interval at which records are sent to their holders again while they are not in the log.
 const HOLD_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Maximum number of records for which this is done.
-const OWN_HELD_MAX: usize = 2_048;
+const UNWRITTEN_MAX: usize = 2_048;
 
 /// What the holders of a stream know about it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -75,14 +74,14 @@
 
 /// A record of this gateway that is not in the log yet.
 #[derive(Debug, Clone)]
-pub(crate) struct HeldRecord {
+pub(crate) struct UnwrittenRecord {
     pub(crate) service: ServiceName,
     pub(crate) record: StreamRecord,
     /// When the stream can no longer be taken up.
     pub(crate) expires_at: Time,
 }
 
-impl HeldRecord {
+impl UnwrittenRecord {
     fn to_wire(&self, now: Time) -> v1::HeldStream {
         v1::HeldStream {
             origin: Some(to_wire(&self.record)),
@@ -91,19 +90,19 @@
     }
 }
 
-/// The records of this gateway that observers hold, as they are not in the log yet.
+/// The records of this gateway that observers have been asked to hold.
 #[derive(Debug, Default)]
-pub(crate) struct OwnHeldRecords {
-    records: RefCell<BTreeMap<StreamKey, HeldRecord>>,
+pub(crate) struct UnwrittenRecords {
+    records: RefCell<BTreeMap<StreamKey, UnwrittenRecord>>,
 }
 
-impl OwnHeldRecords {
+impl UnwrittenRecords {
     /// Has a record held until it is in the log. With too many, the record is not sent to further
     /// observers when its holders change.
-    fn insert(&self, held: HeldRecord) {
+    fn insert(&self, unwritten: UnwrittenRecord) {
         let mut records = self.records.borrow_mut();
-        if records.len() < OWN_HELD_MAX {
-            records.insert(held.record.key, held);
+        if records.len() < UNWRITTEN_MAX {
+            records.insert(unwritten.record.key, unwritten);
         }
     }
 
@@ -115,9 +114,9 @@
         }
     }
 
-    fn current(&self, now: Time) -> Vec<HeldRecord> {
+    fn current(&self, now: Time) -> Vec<UnwrittenRecord> {
         let mut records = self.records.borrow_mut();
-        records.retain(|_, held| !held.expires_at.has_passed(now));
+        records.retain(|_, it| !it.expires_at.has_passed(now));
         records.values().cloned().collect()
     }
 }
@@ -129,11 +128,11 @@
         tokio::time::sleep(HOLD_INTERVAL).await;
         let now = gateway.now();
         let mut by_observer: BTreeMap<SocketAddr, Vec<v1::HeldStream>> = BTreeMap::new();
-        for held in gateway.origins.held.current(now) {
-            let holders = gateway.holders(&held.service, &held.record.key);
+        for unwritten in gateway.origins.unwritten.current(now) {
+            let holders = gateway.holders(&unwritten.service, &unwritten.record.key);
             for holder in holders.into_iter().take(HOLDERS) {
                 let streams = by_observer.entry(holder.address).or_default();
-                streams.push(held.to_wire(now));
+                streams.push(unwritten.to_wire(now));
             }
         }
         let calls = by_observer.into_iter().map(|(observer, streams)| {
@@ -158,12 +157,12 @@
     }
 
     /// Has observers hold a record until it is in the log. Returns whether any of them does.
-    pub(crate) async fn hold_record(self: &Rc<Self>, held: HeldRecord) -> bool {
+    pub(crate) async fn hold_record(self: &Rc<Self>, unwritten: UnwrittenRecord) -> bool {
         let request = v1::HoldStreamsRequest {
-            streams: vec![held.to_wire(self.now())],
+            streams: vec![unwritten.to_wire(self.now())],
         };
-        let holders = self.holders(&held.service, &held.record.key);
-        self.origins.held.insert(held);
+        let holders = self.holders(&unwritten.service, &unwritten.record.key);
+        self.origins.unwritten.insert(unwritten);
         let mut holding = 0;
         for group in holders.chunks(HOLDERS) {
             // Calls go on in the background when enough holders have confirmed.
