Close the listeners of fake servers before they count as stopped

The engines of the test restart at new addresses. Their old listeners were closed by a thread of their own, later than the test went on, so that the system still accepted connections there and then reset them; both attempts of a stream may have run.

--- a/crates/lentiltray/tests/it/fake_http.rs
+++ b/crates/lentiltray/tests/it/fake_http.rs
@@ -5,6 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// A received request.
@@ -51,6 +52,7 @@
     pub(crate) address: SocketAddr,
     stopped: Arc<AtomicBool>,
     open: Arc<AtomicUsize>,
+    accepting: Option<JoinHandle<()>>,
 }
 
 impl Server {
@@ -66,7 +68,7 @@
         let stopped_flag = Arc::clone(&stopped);
         let open = Arc::new(AtomicUsize::new(0));
         let open_count = Arc::clone(&open);
-        std::thread::spawn(move || {
+        let accepting = std::thread::spawn(move || {
             for stream in listener.incoming() {
                 if stopped_flag.load(Ordering::Relaxed) {
                     return;
@@ -89,6 +91,7 @@
             address,
             stopped,
             open,
+            accepting: Some(accepting),
         }
     }
 
@@ -102,6 +105,10 @@
     fn drop(&mut self) {
         self.stopped.store(true, Ordering::Relaxed);
         drop(TcpStream::connect(self.address));
+        // Connections that the system has accepted for a listener would be reset when it closes.
+        if let Some(accepting) = self.accepting.take() {
+            drop(accepting.join());
+        }
     }
 }
 
