Wait for the next append of a stream's record that no observer holds

Cause: while the last append counted as failed, a gateway that reached no observer gave a new stream up, or passed it on, without waiting for the append of its own record, which may succeed as the store is back.

The model has its former bound again for streams that nobody holds, and excuses lost answers of holders only for calls that were lost.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -17,6 +17,7 @@
 use lentil_origin::{Lookup, Origins, StreamRecord, VersionCounts};
 use lentil_rollout::Version;
 use tokio::sync::{Mutex, Notify, oneshot, watch};
+use tokio::time::Instant;
 
 use crate::attempt::Job;
 use crate::gateway::{Gateway, RETRY_AFTER_STORE_FAILURE};
@@ -414,9 +415,10 @@
     /// Appends a record, or has observers hold it if that fails or takes too long.
     async fn record_in_time(self: &Rc<Self>, job: &Job, record: StreamRecord) -> Recorded {
         let is_failing = self.origins.failing.get();
-        let appended = self.origins.enqueue(self.now(), record.clone());
+        let wait_until = Instant::now() + APPEND_WAIT;
+        let mut appended = self.origins.enqueue(self.now(), record.clone());
         if !is_failing {
-            match tokio::time::timeout(APPEND_WAIT, appended).await {
+            match tokio::time::timeout_at(wait_until, &mut appended).await {
                 Ok(Ok(())) => return Recorded::InLog,
                 // The append has failed.
                 Ok(Err(_)) => {}
@@ -430,10 +432,18 @@
             expires_at: self.now() + keep,
         };
         if self.hold_record(unwritten).await {
-            Recorded::Held
-        } else {
-            Recorded::Nowhere
+            return Recorded::Held;
         }
+        // The log may be back, though the last append has failed.
+        if is_failing
+            && matches!(
+                tokio::time::timeout_at(wait_until, appended).await,
+                Ok(Ok(()))
+            )
+        {
+            return Recorded::InLog;
+        }
+        Recorded::Nowhere
     }
 
     /// The version at which a new stream has to begin, as its record would be taken neither by the
--- a/crates/origin/tests/it/model.rs
+++ b/crates/origin/tests/it/model.rs
@@ -236,6 +236,8 @@
     streams: Vec<Stream>,
     appended: Vec<Time>,
     appended_keys: BTreeSet<StreamKey>,
+    /// Whether the last look-up at observers lost a call to one that holds the record.
+    has_lost_holder: bool,
     report: Report,
     trace: Option<Vec<String>>,
 }
@@ -287,6 +289,7 @@
             streams: Vec::new(),
             appended: Vec::new(),
             appended_keys: BTreeSet::new(),
+            has_lost_holder: false,
             report: Report::default(),
             trace: with_trace.then(Vec::new),
         };
@@ -617,16 +620,18 @@
     /// What the holders of a stream answer; `None` if none of them does.
     fn find_held(&mut self, gateway: Id, key: &StreamKey) -> Option<Option<MaybeVersion>> {
         let mut answered = 0;
+        self.has_lost_holder = false;
         let ranked = self.rank(gateway, key);
         for group in ranked.chunks(HOLDERS_ASKED) {
             for engine in group {
-                if self.reaches_observer(gateway, *engine) {
-                    answered += 1;
-                    let held = self.engines[*engine].observer.held.get(self.now, key);
-                    if let Some(version) = held {
-                        return Some(Some(version.clone()));
-                    }
+                let is_reached = self.reaches_observer(gateway, *engine);
+                let held = self.engines[*engine].observer.held.get(self.now, key);
+                match held {
+                    Some(version) if is_reached => return Some(Some(version.clone())),
+                    Some(_) => self.has_lost_holder = true,
+                    None => {}
                 }
+                answered += usize::from(is_reached);
             }
             if answered >= HOLDER_ANSWERS {
                 break;
@@ -1044,12 +1049,19 @@
         if !has_fault {
             self.violate(format!("stream {id} delivered without a record"));
         }
-        self.begin_unrecorded(id)
+        let is_calm = self.gateways[self.streams[id].gateway].fault_at < since - CALL_TIMEOUT;
+        let next = self.begin_unrecorded(id, since);
+        if is_calm && next == State::Running && self.streams[id].holders.is_empty() {
+            self.violate(format!(
+                "stream {id} delivered without a record, held by nobody"
+            ));
+        }
+        next
     }
 
     /// Passes on the first event of a stream that is not known to be recorded, if anybody holds its
     /// record, or if it can't be joined.
-    fn begin_unrecorded(&mut self, id: Id) -> State {
+    fn begin_unrecorded(&mut self, id: Id, since: Time) -> State {
         let stream = &mut self.streams[id];
         stream.is_unrecorded = true;
         let (place, key, version) = (stream.gateway, stream.key, stream.version.clone());
@@ -1059,6 +1071,12 @@
             version: version.clone(),
         };
         let holders = self.hold(place, &record);
+        if holders.is_empty() && self.now < since + RECORD_WAIT {
+            return State::Starting {
+                since,
+                is_sent: true,
+            };
+        }
         self.note(|| {
             format!("stream {id} begins at gateway {place} and {version:?}, held by {holders:?}")
         });
@@ -1099,8 +1117,8 @@
         } else if !left.iter().any(|(engine, _)| asked.contains(engine)) {
             Some("record not written, holders behind others that joined")
         } else {
-            let loses_calls = self.setup.slow_calls;
-            loses_calls.then_some("record not written, answers of holders lost")
+            self.has_lost_holder
+                .then_some("record not written, answers of holders lost")
         }
     }
 
