Look up streams that are taken up in a module of their own

origins.rs held both the records of streams and the look-ups of those that are taken up, and model.rs the observers beside the gateways.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,6 +53,7 @@
 mod status_log;
 mod store_feed;
 mod stream_holders;
+mod take_ups;
 mod wait_queue;
 
 pub use body::{BodyInterrupted, CollectError, ResponseBody, collect};
