Confirm nothing on a store that may have just come back from an older copy

Routes that the copy did not hold were refused with 404.

A process that has just started knows no earlier era, so that its first page counted as complete and confirmed the configuration.

Change: a gateway that has had answers of an era for 2 s writes to the log that the restore of this era is over. A gateway that starts reads this record first. Its first page counts as complete only if it was confirmed after that; any other one is treated like the first page after a restore, until the gateway itself has had answers for 2 s. A copy of the store can't hold the record of a later era, so a missing record is the safe side. While the store is in order, a start costs one read.

--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -11,7 +11,8 @@
 //! on one relay, and passing a copy on never makes it look more recent.
 //!
 //! The store may come back from an older copy. A [`Position`] then no longer counts, and readers
-//! get the newest record of each key.
+//! get the newest record of each key. A [`RestoreWatch`] tells when the store holds again what it
+//! had lost, also to processes that have just started.
 //!
 //! This crate has no clock and no I/O; callers pass in the current time.
 
@@ -19,14 +20,16 @@
 mod position;
 mod progress;
 mod record;
+mod restore_watch;
 mod source;
 mod timing;
 mod topic_cache;
 
 pub use confirmation::{ConfirmationError, ConfirmationOffset};
 pub use position::Position;
-pub use progress::{Continuity, OlderPage, RESTORE_TIME, ReadProgress};
+pub use progress::{Continuity, OlderPage, ReadProgress};
 pub use record::{KeyedRecord, LogTopic, RecordPage};
+pub use restore_watch::{RESTORE_TIME, RestoreWatch};
 pub use source::{ReadSource, SourceChooser};
 pub use timing::{
     ENDPOINTS_AGE_MAX, ENDPOINTS_RECENT, ENDPOINTS_RELAY_WAIT, OPERATORS_AGE_MAX,
--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -9,5 +9,6 @@
 
 mod confirmation_age;
 mod record_delay;
+mod restore_watch;
 mod source_choice;
 mod topic_copy;
--- a/crates/feed/tests/it/topic_copy.rs
+++ b/crates/feed/tests/it/topic_copy.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use lentil_core::{Offset, Span, StoreEra, Time};
 use lentil_feed::{
-    CacheError, KeyedRecord, LogTopic, Position, RESTORE_TIME, ReadProgress, RecordPage, TopicCache,
+    CacheError, KeyedRecord, LogTopic, Position, RESTORE_TIME, ReadProgress, RecordPage,
+    RestoreWatch, TopicCache,
 };
 use proptest::prelude::*;
 
@@ -60,6 +61,8 @@
     written: BTreeMap<u8, Vec<(Time, Value)>>,
     /// Keys whose newest value was lost, and when it is written again at the latest.
     lost: BTreeMap<u8, Time>,
+    /// The era whose restore is over, as a process has written it.
+    restored: StoreEra,
 }
 
 impl Log {
@@ -71,6 +74,18 @@
             history: BTreeMap::from([((0, 0), BTreeMap::new())]),
             written: BTreeMap::new(),
             lost: BTreeMap::new(),
+            restored: StoreEra::default(),
+        }
+    }
+
+    fn era(&self) -> StoreEra {
+        StoreEra::new(self.era)
+    }
+
+    /// Returns after it was away, when its writers could not write.
+    fn return_at(&mut self, now: Time) {
+        for until in self.lost.values_mut() {
+            *until = now + RESTORE_TIME;
         }
     }
 
@@ -164,6 +179,7 @@
 /// A reader of a topic, as a gateway is one.
 #[derive(Default)]
 struct Reader {
+    watch: RestoreWatch,
     progress: ReadProgress,
     position: Option<Position>,
     newest: BTreeMap<String, KeyedRecord>,
@@ -171,8 +187,21 @@
 }
 
 impl Reader {
+    /// A process that starts, and reads whether the restore of the store is over.
+    fn start(now: Time, log: &Log) -> Self {
+        let mut reader = Self::default();
+        reader.watch.record_answer(now, log.era());
+        reader.watch.record_restored(now, log.restored);
+        reader
+    }
+
+    fn next(&self, now: Time) -> Option<Position> {
+        self.progress.next(now, &self.watch)
+    }
+
     fn apply(&mut self, asked_at: Time, now: Time, page: RecordPage) {
-        if let Err(older) = self.progress.record(asked_at, now, &page) {
+        self.watch.record_answer(now, page.next.era);
+        if let Err(older) = self.progress.record(asked_at, &page, &self.watch) {
             assert!(Some(older.page) < self.position, "{older}");
             return;
         }
@@ -204,6 +233,13 @@
     /// The log answers the reader, and the answer arrives after this many milliseconds.
     LogIsSlow(u64),
     Wait(u64),
+    /// The store does not answer for this many milliseconds.
+    Away(u64),
+    /// Another process asks the log, and writes that a restore is over.
+    PeerAsksLog,
+    /// Another reader takes the place of the reader, after it has read whether the restore is over or
+    /// not.
+    ReaderStarts(bool),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -220,6 +256,9 @@
         1 => Just(Step::ReaderAsksLog),
         1 => (1_u64..900).prop_map(Step::LogIsSlow),
         1 => (100_u64..2_500).prop_map(Step::Wait),
+        1 => (100_u64..1_500).prop_map(Step::Away),
+        2 => Just(Step::PeerAsksLog),
+        1 => any::<bool>().prop_map(Step::ReaderStarts),
     ]
 }
 
@@ -238,6 +277,7 @@
         let mut log = Log::new();
         let mut relays = [TopicCache::default(), TopicCache::default()];
         let mut reader = Reader::default();
+        let mut peer = RestoreWatch::default();
         let mut now = Time::from_us(1_000);
         reader.apply(now, now, log.read(now, None));
         for step in steps {
@@ -256,22 +296,44 @@
                     let page = log.read(now, relays[relay].next());
                     relays[relay].apply(part(page, length)).unwrap();
                 }
-                Step::ReaderAsksRelay(relay) => match relays[relay].read(reader.progress.next(now)) {
+                Step::ReaderAsksRelay(relay) => match relays[relay].read(reader.next(now)) {
                     Ok(page) => reader.apply(now, now, page),
                     Err(CacheError::NotLoaded) => prop_assert!(relays[relay].next().is_none()),
                     Err(error) => prop_assert!(reader.position > relays[relay].next(), "{error}"),
                 },
                 Step::ReaderAsksLog => {
-                    let page = log.read(now, reader.progress.next(now));
+                    let page = log.read(now, reader.next(now));
                     reader.apply(now, now, page);
                 }
                 Step::LogIsSlow(ms) => {
                     let asked_at = now;
-                    let page = log.read(now, reader.progress.next(now));
+                    let page = log.read(now, reader.next(now));
                     now = now + Span::from_ms(ms);
                     reader.apply(asked_at, now, page);
                 }
                 Step::Wait(ms) => now = now + Span::from_ms(ms),
+                Step::Away(ms) => {
+                    for watch in [&mut reader.watch, &mut peer] {
+                        watch.record_failure(now);
+                    }
+                    now = now + Span::from_ms(ms);
+                    log.return_at(now);
+                }
+                Step::PeerAsksLog => {
+                    peer.record_answer(now, log.era());
+                    if peer.restored_at(log.era()).has_passed(now) {
+                        log.restored = log.era();
+                    }
+                }
+                Step::ReaderStarts(reads_record) => {
+                    reader = if reads_record {
+                        Reader::start(now, &log)
+                    } else {
+                        Reader::default()
+                    };
+                    now = now + Span::from_ms(5);
+                    reader.apply(now, now, log.read(now, None));
+                }
             }
             let position = reader.position.unwrap();
             let end = usize::try_from(position.offset.get()).unwrap();
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -27,6 +27,7 @@
     ConfirmedChanges, EndpointChange, EndpointChanges, FeedError, OperatorChanges, ReadCatalog,
     StoreChanges, StoreFeed,
 };
+use crate::store_restores::{RestoreLog, StoreRestores, follow_restores, wait_for_first_read};
 
 /// Capacity of the update queue to the thread that serves callers.
 const UPDATE_RING_CAPACITY: usize = 1_024;
@@ -92,6 +93,10 @@
     pub engine_client: Rc<dyn EndpointClient>,
     /// Tells the feeds which relays there are.
     pub relays: Rc<RelayDirectory>,
+    /// Tells the feeds whether the store's last restore is over.
+    pub restores: Rc<StoreRestores>,
+    /// The record that a restore is over.
+    pub restore_log: Box<dyn RestoreLog>,
 }
 
 /// Options of the control thread.
@@ -228,6 +233,13 @@
 async fn run(options: ControlOptions, sources: ControlSources, outbox: BoundedSender<Update>) {
     let relays = sources.relays;
     let clock = options.clock;
+    let (read_sender, is_read) = tokio::sync::watch::channel(false);
+    let restores = follow_restores(
+        sources.restores,
+        sources.restore_log,
+        Rc::clone(&relays),
+        read_sender,
+    );
     let (services_sender, services) = tokio::sync::watch::channel(None);
     let operator_changes = follow_operator_changes(
         FeedSource::new("orders", sources.operator_changes, clock, &relays),
@@ -253,7 +265,14 @@
         services,
         followers,
     );
-    tokio::join!(operator_changes, endpoint_changes, default_versions);
+    let followed = async {
+        wait_for_first_read(is_read).await;
+        tokio::join!(operator_changes, endpoint_changes, default_versions);
+    };
+    tokio::select! {
+        () = restores => {}
+        () = followed => {}
+    }
 }
 
 /// Reads the default versions whenever they are wanted, until the update queue closes. After a
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod shutdown;
 mod status_log;
 mod store_feed;
+mod store_restores;
 mod stream_holders;
 mod take_ups;
 mod wait_queue;
@@ -80,6 +81,7 @@
     ConfirmedChanges, EndpointChange, EndpointChanges, FeedError, OperatorChanges, ReadCatalog,
     ReadOrder, RecordLog, StoreChanges, StoreError, StoreFeed,
 };
+pub use store_restores::{ReadRestore, RestoreLog, StoreRestores};
 
 /// A boxed future that is not `Send`.
 pub type LocalFuture<'a, T> = futures_util::future::LocalBoxFuture<'a, T>;
--- a/crates/lentiltray/src/command/gateway.rs
+++ b/crates/lentiltray/src/command/gateway.rs
@@ -18,7 +18,7 @@
 use lentil_gateway::{
     ConnectionPool, Connections, ControlOptions, ControlSources, ControlThread, Gateway,
     GatewayBounds, GatewayMetrics, GatewayOptions, Handler, RelayDirectory, RelayedLog,
-    RolloutBounds, ShutdownStage, StopPlan, serve,
+    RolloutBounds, ShutdownStage, StopPlan, StoreRestores, serve,
 };
 use lentil_settings::{Node, NodeRole};
 use lentil_shell::{BodyBudget, BootClock, Eviction, SignalAction, StopSignals, spawn_io};
@@ -152,16 +152,19 @@
         let pool = ConnectionPool::default();
         let store = StoreClient::new(pool.clone(), address, clock);
         let relays = Rc::<RelayDirectory>::default();
+        let restores = StoreRestores::new(clock);
         let log = || {
             let store = Box::new(store.clone());
             Box::new(RelayedLog::new(store, Rc::clone(&relays), clock, sharing))
         };
         ControlSources {
-            operator_changes: Box::new(OperatorFeed::new(log(), clock)),
-            endpoint_changes: Box::new(EndpointFeed::new(log(), clock)),
+            operator_changes: Box::new(OperatorFeed::new(log(), clock, Rc::clone(&restores))),
+            endpoint_changes: Box::new(EndpointFeed::new(log(), clock, Rc::clone(&restores))),
             default_versions: Box::new(DefaultVersions::new(log())),
             engine_client: Rc::new(HttpEndpointClient::new(pool, clock)),
             relays,
+            restores,
+            restore_log: Box::new(store.clone()),
         }
     })?)
 }
--- a/crates/lentiltray/tests/it/daemon_process.rs
+++ b/crates/lentiltray/tests/it/daemon_process.rs
@@ -99,6 +99,13 @@
             .unwrap_or_else(|| wait_for(&self.lines, part, &mut Vec::new()))
     }
 
+    /// Whether a log line with this text was written that no test has waited for.
+    pub(crate) fn has_logged(&self, part: &str) -> bool {
+        let before_start = self.before_start.iter().cloned();
+        let mut lines = before_start.chain(self.lines.try_iter());
+        lines.any(|line| message_contains(&line, part))
+    }
+
     pub(crate) fn terminate(&self) {
         self.signal("-TERM");
     }
--- a/crates/lentiltray/tests/it/fake_store.rs
+++ b/crates/lentiltray/tests/it/fake_store.rs
@@ -37,8 +37,14 @@
     AnswerLost,
 }
 
-/// Topics that others than the gateways write to, or that hold the status of roll-outs.
-const PLATFORM_TOPICS: [&str; 3] = ["keyed.op", "keyed.servers", "keyed.status"];
+/// Topics that others than the gateways write to, or that hold the status of roll-outs or of the
+/// store's restores.
+const PLATFORM_TOPICS: [&str; 4] = [
+    "keyed.op",
+    "keyed.servers",
+    "keyed.status",
+    "keyed.restores",
+];
 
 /// Prefix of topics whose records consist of a key and a value. Those of other topics are
 /// raw bytes.
@@ -147,7 +153,15 @@
 }
 
 impl Store {
+    /// Starts a store whose gateways have written that the restore of its era is over.
     pub(crate) fn start() -> Self {
+        let store = Self::start_new();
+        store.put("keyed.restores", "restored", Some(&json!({"era": 1})));
+        store
+    }
+
+    /// Starts a store that no gateway has reached yet.
+    pub(crate) fn start_new() -> Self {
         let state = Arc::new(Mutex::new(State {
             era: Some("1".to_owned()),
             ..State::default()
--- a/crates/lentiltray/tests/it/main.rs
+++ b/crates/lentiltray/tests/it/main.rs
@@ -53,6 +53,7 @@
 mod request_floods;
 mod restarted_endpoints;
 mod restored_play;
+mod restored_starts;
 mod restored_store;
 mod rollout_evidence;
 mod rollout_orders;
--- a/crates/lentiltray/tests/it/restored_store.rs
+++ b/crates/lentiltray/tests/it/restored_store.rs
@@ -5,6 +5,7 @@
 
 use serde_json::{Value, json};
 
+use crate::daemon_process::DaemonProcess;
 use crate::fake_store::{Store, StoreMode};
 use crate::gateway_harness::{Replica, Site, config, respond_ok, wait_until};
 use crate::shared_log::RelaySite;
@@ -31,7 +32,7 @@
 
 /// A gateway with its store, or with an observer that has a store with the same records.
 enum Processes {
-    Gateway { site: Box<Site>, _desk: Replica },
+    Gateway { site: Box<Site>, desk: Replica },
     Observer(Box<RelaySite>),
 }
 
@@ -42,7 +43,7 @@
 }
 
 impl Restored {
-    fn start(test: &str, reader: Reader) -> Self {
+    pub(crate) fn start(test: &str, reader: Reader) -> Self {
         Self::start_revoking(test, reader, REVOKE_MS)
     }
 
@@ -57,7 +58,7 @@
                 let site = Site::start_bounded(test, &[(&desk, "desk")], 1, &bounds);
                 Processes::Gateway {
                     site: Box::new(site),
-                    _desk: desk,
+                    desk,
                 }
             }
         };
@@ -144,6 +145,38 @@
         self.set_mode(StoreMode::Serving);
     }
 
+    /// Lets the store be away for some time and come back without the last records of a topic.
+    pub(crate) fn restore_after(&mut self, topic: &str, lost: usize, away: Duration) {
+        self.set_mode(StoreMode::Closing);
+        std::thread::sleep(away);
+        self.lose(topic, lost);
+        self.set_mode(StoreMode::Serving);
+    }
+
+    /// Writes the entry of the endpoint of `desk` again, as endpoints do.
+    pub(crate) fn renew_endpoints(&self) {
+        let desk = match &self.processes {
+            Processes::Gateway { desk, .. } => desk,
+            Processes::Observer(relay) => &relay.desk,
+        };
+        self.register(desk, "ready");
+    }
+
+    /// Kills the observer, through which the gateway reads, and starts another one in its place.
+    pub(crate) fn restart_observer(&mut self) {
+        if let Processes::Observer(relay) = &mut self.processes {
+            relay.restart_observer();
+        }
+    }
+
+    /// Starts a further gateway that reads through the observer.
+    pub(crate) fn start_reading_gateway(&self, test: &str) -> DaemonProcess {
+        match &self.processes {
+            Processes::Gateway { .. } => panic!("there is no observer"),
+            Processes::Observer(relay) => relay.start_gateway(test),
+        }
+    }
+
     fn status(&self, target: &str, id: &str) -> u16 {
         self.site().call(target, id, "").unwrap().status
     }
@@ -166,7 +199,7 @@
 }
 
 /// A configuration with the further route `/added/`.
-fn with_added_route(version: u64) -> Value {
+pub(crate) fn with_added_route(version: u64) -> Value {
     let mut next = config(version);
     let routes = next["routes"].as_array_mut().unwrap();
     let mut route = routes[0].clone();
--- a/crates/lentiltray/tests/it/shared_log.rs
+++ b/crates/lentiltray/tests/it/shared_log.rs
@@ -10,7 +10,8 @@
 use crate::fake_http::{Request, response_with_length};
 use crate::fake_store::{Store, StoreMode};
 use crate::gateway_harness::{
-    Replica, Site, config, free_port, respond_ok, start_observer, wait_until, write_response,
+    Replica, Site, config, free_port, respond_ok, start_gateway, start_observer, wait_until,
+    write_response,
 };
 
 /// Time after which a revoked key must stop working.
@@ -24,7 +25,7 @@
     observer: DaemonProcess,
     /// The observer's port.
     port: u16,
-    _engine: Replica,
+    engine: Replica,
     pub(crate) desk: Replica,
 }
 
@@ -79,7 +80,7 @@
             relay_store,
             observer,
             port,
-            _engine: engine,
+            engine,
             desk,
         }
     }
@@ -91,6 +92,23 @@
         store.put("keyed.op", "config", Some(&next));
     }
 
+    /// Kills the observer, and starts another one at its port.
+    pub(crate) fn restart_observer(&mut self) {
+        self.observer.kill();
+        self.observer.wait();
+        self.observer = start_observer(
+            "restarted_observer",
+            &self.engine,
+            self.port,
+            Some(&self.relay_store),
+        );
+    }
+
+    /// Starts a further gateway that reads through the observer as soon as it knows it.
+    pub(crate) fn start_gateway(&self, test: &str) -> DaemonProcess {
+        start_gateway(&self.site.store, test, "direct_readers_max: 0", self.port)
+    }
+
     pub(crate) fn status(&self, id: &str) -> u16 {
         self.site.call("/lookup/a", id, "").unwrap().status
     }
