--- a/crates/lentiltray/tests/it/restored_starts.rs
+++ b/crates/lentiltray/tests/it/restored_starts.rs
@@ -1,6 +1,7 @@
 //! Gateways and observers that start while the store holds an older copy, from which it has just come
 //! back.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -22,6 +23,8 @@
 const AWAY_TIME: Duration = Duration::from_millis(500);
 /// Delay of a process that starts some time after the return.
 const LATE_START: Duration = Duration::from_millis(1_000);
+/// Time after which an endpoint whose entry is not renewed must get no requests.
+const UNRENEWED_TIME: Duration = Duration::from_millis(3_000);
 /// The line of a gateway that can't tell whether the store has just been restored.
 const UNCONFIRMED: &str = "may have come back from an older copy";
 /// The line of a gateway that has read whether a restore is over.
@@ -223,6 +226,17 @@
     next
 }
 
+/// Sends requests for some time, and returns the statuses of their responses.
+fn statuses(gateway: &DaemonProcess, time: Duration) -> BTreeSet<u16> {
+    let end = Instant::now() + time;
+    let mut statuses = BTreeSet::new();
+    while Instant::now() < end {
+        statuses.insert(status(gateway, "/lookup/a", ""));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    statuses
+}
+
 /// Starts a gateway whose store comes back without the last record of a topic, which `write` writes
 /// before. Requests need no key.
 fn lose_record(
@@ -239,6 +253,9 @@
     restored.restore_after(topic, 1, AWAY_TIME);
     let gateway = restored.start_gateway(&format!("{test}_2"));
     gateway.wait_for_line("endpoint joined");
+    wait_until("the configuration is read", || {
+        status(&gateway, "/lookup/a", "") == 200
+    });
     (restored, gateway)
 }
 
@@ -259,6 +276,25 @@
     assert!(!served);
 }
 
+/// An endpoint that had left, and whose entry is in the older copy, got requests for as long as the
+/// store kept the entry. Requests without a key must be served meanwhile.
+#[test]
+fn left_endpoint() {
+    let left = Replica::start("i-9", respond_ok);
+    let (restored, gateway) = lose_record("starts_left", "keyed.servers", |restored| {
+        restored.register(&left, "ready");
+        let joined = || restored.site().gateway.wait_for_line("endpoint joined");
+        while joined()["kvs"]["endpoint"] != "i-9" {}
+        restored.put("keyed.servers", "i-9", None);
+    });
+    assert_eq!(statuses(&gateway, LATE_START), BTreeSet::from([200]));
+    restored.renew_endpoints();
+    std::thread::sleep(UNRENEWED_TIME.saturating_sub(LATE_START));
+    let before = left.requests().len();
+    assert_eq!(statuses(&gateway, LATE_START), BTreeSet::from([200]));
+    assert_eq!(left.requests().len(), before);
+}
+
 /// An endpoint that had joined since the copy got no requests although it had written again.
 #[test]
 fn joined_endpoint() {
