Count no read of stream versions at a start before the store's restore is over

One that started where the default version was lost wrote another one.

Cause: the first read of records and of the default counted as complete, as this gateway knew no earlier era.

Change: at the first era that a gateway knows, neither a read of records nor one of the default counts until the restore is over, by the record in the log or by 2 s of answers. A failure of the store in this time begins it anew, as for the other topics.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -75,8 +75,9 @@
     Followed(FollowedEngines),
     /// The default versions of all services.
     DefaultVersions(ReadDefaults),
-    /// The store states this era. If it has risen, the store has come back from an older copy.
-    StoreEra(StoreEra),
+    /// The store states this era, and reads of it are complete from `restored_at` on. If the era has
+    /// risen, the store has come back from an older copy.
+    StoreEra { era: StoreEra, restored_at: Time },
     /// The store failed to respond to a request that was sent at this time.
     StoreFailed { asked_at: Time },
 }
@@ -159,8 +160,9 @@
     relays: Rc<RelayDirectory>,
     /// The last failure of the store that was reported.
     store_failed_at: Option<Time>,
-    /// The era of the store that was reported.
-    era: Option<StoreEra>,
+    restores: Rc<StoreRestores>,
+    /// The era of the store that was reported, and when reads of it are complete.
+    era: Option<(StoreEra, Time)>,
 }
 
 impl FeedSource {
@@ -168,7 +170,7 @@
         name: &'static str,
         feed: Box<dyn StoreFeed>,
         clock: BootClock,
-        relays: &Rc<RelayDirectory>,
+        (relays, restores): (&Rc<RelayDirectory>, &Rc<StoreRestores>),
     ) -> Self {
         Self {
             name,
@@ -177,6 +179,7 @@
             retry_delay: RETRY_DELAY_MIN,
             failing: false,
             relays: Rc::clone(relays),
+            restores: Rc::clone(restores),
             store_failed_at: None,
             era: None,
         }
@@ -196,8 +199,11 @@
                 }
                 self.failing = false;
                 self.retry_delay = RETRY_DELAY_MIN;
-                if self.era.replace(changes.era) != Some(changes.era) {
-                    send(outbox, Update::StoreEra(changes.era)).await;
+                let era = changes.era;
+                let restored_at = self.restores.with(|watch| watch.restored_at(era));
+                let is_known = restored_at < Time::NEVER;
+                if is_known && self.era.replace((era, restored_at)) != Some((era, restored_at)) {
+                    send(outbox, Update::StoreEra { era, restored_at }).await;
                 }
                 Some(changes)
             }
@@ -232,17 +238,18 @@
 
 async fn run(options: ControlOptions, sources: ControlSources, outbox: BoundedSender<Update>) {
     let relays = sources.relays;
+    let shared = (&relays, &sources.restores);
     let clock = options.clock;
     let (read_sender, is_read) = tokio::sync::watch::channel(false);
     let restores = follow_restores(
-        sources.restores,
+        Rc::clone(&sources.restores),
         sources.restore_log,
         Rc::clone(&relays),
         read_sender,
     );
     let (services_sender, services) = tokio::sync::watch::channel(None);
     let operator_changes = follow_operator_changes(
-        FeedSource::new("orders", sources.operator_changes, clock, &relays),
+        FeedSource::new("orders", sources.operator_changes, clock, shared),
         outbox.clone(),
         services_sender,
     );
@@ -260,7 +267,7 @@
         tasks: HashMap::new(),
     };
     let endpoint_changes = follow_endpoints(
-        FeedSource::new("endpoints", sources.endpoint_changes, clock, &relays),
+        FeedSource::new("endpoints", sources.endpoint_changes, clock, shared),
         outbox,
         services,
         followers,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -542,8 +542,9 @@
                 self.origins.record_defaults(now, &read);
                 return;
             }
-            Update::StoreEra(era) => {
+            Update::StoreEra { era, restored_at } => {
                 if self.origins.record_era(now, era) {
+                    self.origins.set_restored_at(era, restored_at);
                     let number = i64::try_from(era.get()).unwrap_or(i64::MAX);
                     self.metrics.store_era.set(number);
                 }
@@ -551,6 +552,7 @@
             }
             Update::StoreFailed { asked_at } => {
                 self.fleet.borrow_mut().record_store_failure(asked_at);
+                self.origins.record_store_failure(asked_at);
             }
         }
         self.wake.notify_change();
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use lentil_core::{ServiceName, Span, StoreEra, Time};
-use lentil_feed::Position;
+use lentil_feed::{Position, RESTORE_TIME};
 use lentil_fleet::VersionNeed;
 use lentil_origin::{Origins, StreamRecord, VersionCounts};
 use lentil_rollout::Version;
@@ -91,6 +91,8 @@
     recent: RefCell<VecDeque<(Time, StreamRecord)>>,
     /// The latest era of the store that is known.
     era: Cell<Option<StoreEra>>,
+    /// The first one that was known.
+    first_era: Cell<Option<StoreEra>>,
     /// Whether the last append failed or did not end in time.
     failing: Cell<bool>,
     /// Until when new streams are placed where they need no record.
@@ -124,6 +126,7 @@
             unwritten: UnwrittenRecords::default(),
             recent: RefCell::default(),
             era: Cell::default(),
+            first_era: Cell::default(),
             failing: Cell::default(),
             unrecorded_until: Cell::default(),
             next_read: Mutex::default(),
@@ -180,6 +183,8 @@
         }
         self.era.set(Some(era));
         if known.is_none() {
+            self.first_era.set(Some(era));
+            self.set_restored_at(era, now + RESTORE_TIME);
             return true;
         }
         self.origins.borrow_mut().forget_reads(now);
@@ -197,6 +202,23 @@
         true
     }
 
+    /// Takes over from when on reads of the store are complete.
+    pub(crate) fn set_restored_at(&self, era: StoreEra, restored_at: Time) {
+        let mut origins = self.origins.borrow_mut();
+        if era == StoreEra::default() {
+            origins.start(Time::ZERO);
+        } else if self.first_era.get() == Some(era) {
+            origins.start(restored_at);
+        } else {
+            origins.set_restored_at(restored_at);
+        }
+    }
+
+    /// Notes that the store did not answer a request that was sent at this time.
+    pub(crate) fn record_store_failure(&self, asked_at: Time) {
+        self.origins.borrow_mut().record_store_failure(asked_at);
+    }
+
     /// Takes over the default versions that were read from the log.
     pub(crate) fn record_defaults(&self, now: Time, read: &ReadDefaults) {
         if !self.record_era(now, read.end.era) {
--- a/crates/lentiltray/tests/it/restored_starts.rs
+++ b/crates/lentiltray/tests/it/restored_starts.rs
@@ -13,6 +13,7 @@
     Replica, config, readiness, request_head, respond_ok, start_gateway, wait_until,
 };
 use crate::restored_store::{Reader, Restored, with_added_route, with_key};
+use crate::version_fleet::Fleet;
 
 /// Time within which lost records are written again in the tests. It is shorter than the platform's
 /// pages allow.
@@ -318,3 +319,43 @@
     let gateway = restored.start_reading_gateway("starts_observer_2");
     restored.check_revoked(&[&gateway, &restored.site().gateway]);
 }
+
+/// A stream went on at another version at a gateway that started before its record was written again
+/// by the gateway that had begun it.
+#[test]
+fn stream_versions() {
+    let mut fleet = Fleet::start_overlap("starts_streams", 1, &with_public(1, "/note/"));
+    let callers = fleet.begin_at(0, "v2", 4);
+    fleet.restore_without(&["streams"]);
+    fleet.add_starting_gateway();
+    fleet.renew_entries();
+    fleet.complete_all(&[1], callers);
+}
+
+/// A gateway that started wrote another default version in place of one that was lost, before it could
+/// be written again.
+#[test]
+fn default_version() {
+    let mut fleet = Fleet::start_overlap("starts_default", 1, &with_public(1, "/note/"));
+    let written = fleet.store.appended_defaults();
+    fleet.kill_all_gateways();
+    fleet.restore_without(&["keyed.versions"]);
+    fleet.add_starting_gateway();
+    std::thread::sleep(WRITE_AGAIN_TIME);
+    assert_eq!(fleet.store.appended_defaults(), written);
+    fleet.renew_entries();
+    wait_until("a default is written", || {
+        fleet.store.appended_defaults() > written
+    });
+}
+
+/// A stream that is taken up at a gateway that ran all the while goes on at another version, as both
+/// the log and the only gateway that knew its record have lost it.
+#[test]
+fn first_gateway_lost() {
+    let mut fleet = Fleet::start_overlap("starts_lost", 2, &config(1));
+    let callers = fleet.begin_at(0, "v2", 4);
+    fleet.kill_gateway(0);
+    fleet.restore_without(&["streams"]);
+    fleet.complete_all(&[0], callers);
+}
--- a/crates/lentiltray/tests/it/version_fleet.rs
+++ b/crates/lentiltray/tests/it/version_fleet.rs
@@ -11,7 +11,7 @@
 use crate::fake_http::{
     ClientConnection, ConnectionAction, ReceivedResponse, Request, chunk, response_with_length,
 };
-use crate::fake_store::{Store, StoreLink};
+use crate::fake_store::{Store, StoreLink, StoreMode};
 use crate::gateway_harness::{
     Replica, config, free_port, readiness, register_version, signature_headers, start_gateway_at,
     start_observer, wait_until, write_response,
@@ -19,6 +19,8 @@
 
 /// Time between two events of a stream.
 const EVENT_GAP: Duration = Duration::from_millis(20);
+/// How long the store is away before it comes back from an older copy.
+const AWAY_TIME: Duration = Duration::from_millis(300);
 /// Number of events in a complete stream.
 pub(crate) const EVENTS: u64 = 60;
 /// Number of events that a caller reads before its stream breaks.
@@ -263,6 +265,36 @@
         gateway
     }
 
+    /// Starts a gateway, and waits until it knows the engines.
+    pub(crate) fn add_starting_gateway(&mut self) {
+        self.started_gateways += 1;
+        let name = format!("{}-{}", self.test, self.started_gateways);
+        let observer_port = self.observer_port.unwrap_or(1);
+        let gateway = start_gateway_at(self.store.address(), &name, "", observer_port);
+        for _ in self.engines.iter().filter(|engine| engine.is_listed) {
+            gateway.wait_for_line("endpoint joined");
+        }
+        self.gateways.push(gateway);
+    }
+
+    /// Lets the store be away for a moment and come back without the records of these topics.
+    pub(crate) fn restore_without(&self, topics: &[&str]) {
+        self.store.set_mode(StoreMode::Closing);
+        std::thread::sleep(AWAY_TIME);
+        for topic in topics {
+            self.store.truncate(topic, 0);
+        }
+        self.store.set_era(Some("2"));
+        self.store.set_mode(StoreMode::Serving);
+    }
+
+    /// Writes the entries of the listed engines again, as engines do.
+    pub(crate) fn renew_entries(&self) {
+        for engine in self.engines.iter().filter(|engine| engine.is_listed) {
+            register_version(&self.store, &engine.replica, "writers", &engine.version);
+        }
+    }
+
     /// Starts a gateway that reaches the store through a link.
     pub(crate) fn add_gateway_at(&mut self, link: &StoreLink) {
         let gateway = self.start_gateway(link.address());
--- a/crates/origin/src/origins.rs
+++ b/crates/origin/src/origins.rs
@@ -128,6 +128,27 @@
         }
     }
 
+    /// Notes that this process has started on a store whose reads are complete from `restored_at` on.
+    /// What it had lost, a default version too, is not known to this process, so that no earlier
+    /// read counts.
+    pub const fn start(&mut self, restored_at: Time) {
+        self.forgotten_at = restored_at;
+        self.restored_until = restored_at;
+    }
+
+    /// Takes over from when on reads of records count again.
+    pub const fn set_restored_at(&mut self, restored_at: Time) {
+        self.restored_until = restored_at;
+    }
+
+    /// Notes that the store did not answer a request of this time. If reads do not count yet, the
+    /// time in which lost records are written again begins anew.
+    pub fn record_store_failure(&mut self, asked_at: Time) {
+        if !self.restored_until.has_passed(asked_at) {
+            self.restored_until = self.restored_until.max(asked_at + RESTORE_TIME);
+        }
+    }
+
     /// When reads of records count again, after the store has come back from an older copy.
     #[must_use]
     pub const fn reads_count_from(&self) -> Time {
--- a/crates/origin/tests/it/model.rs
+++ b/crates/origin/tests/it/model.rs
@@ -5,7 +5,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use lentil_core::{Span, Time};
+use lentil_core::{Span, StoreEra, Time};
+use lentil_feed::RestoreWatch;
 use lentil_origin::{HeldRecords, Lookup, Origins, StreamKey, StreamRecord, VersionCounts};
 use lentil_rollout::Version;
 use rand::{RngExt as _, SeedableRng as _};
@@ -29,10 +30,10 @@
 const LAG_MAX_MS: u64 = 1_500;
 /// How long gateways keep records that a restore of the store may lose.
 const LOST_MAX: Span = Span::from_s(10);
-/// How long look-ups wait after a restore.
-const RESTORE_TIME: Span = Span::from_s(2);
 /// How long a gateway that appends again has its records held.
 const APPEND_RETRY: Span = Span::from_ms(500);
+/// Longest time for which a start waits until it is read whether a restore is over.
+const START_WAIT: Span = Span::from_ms(100);
 /// How often a gateway has its records held again.
 const HOLD_INTERVAL_MS: u64 = 1_000;
 
@@ -90,6 +91,7 @@
     ReadRecords { from: usize },
     Change { at: usize, to: MaybeVersion },
     Append(Vec<StreamRecord>),
+    ReadRestored,
 }
 
 enum Answer {
@@ -99,12 +101,13 @@
     },
     Records(Vec<StreamRecord>, usize),
     Changed,
+    Restored(StoreEra),
     Appended(BTreeSet<StreamKey>),
 }
 
 enum Event {
     Arrive(Id, u64, Call, Time),
-    Answered(Id, u64, Answer, Time, u64),
+    Answered(Id, u64, Answer, Time, StoreEra),
 }
 
 #[derive(Default)]
@@ -118,8 +121,10 @@
     lapsed_until: Time,
     is_lapsed: bool,
     restored: bool,
-    /// Number of restores, named in each answer.
-    era: u64,
+    /// Named in each answer.
+    era: StoreEra,
+    /// The last era whose restore is over, by the record in the log.
+    restored_era: StoreEra,
 }
 
 struct Gateway {
@@ -139,8 +144,10 @@
     lag: Span,
     listed: Vec<(Id, MaybeVersion)>,
     listed_at: Time,
-    /// Times out each kind of call: default, records, change, append.
-    busy_until: [Time; 4],
+    /// Times out each kind of call: default, records, change, append, end of a restore.
+    busy_until: [Time; 5],
+    /// Whether the record of the last restore was read.
+    has_read_restored: bool,
     wants_default: bool,
     wants_records: bool,
     default_end: usize,
@@ -148,7 +155,9 @@
     queue: Vec<StreamRecord>,
     /// What was appended, to be appended again after a restore of the store.
     sent: Vec<(Time, StreamRecord)>,
-    era: Option<u64>,
+    /// The first era that was known.
+    first_era: Option<StoreEra>,
+    watch: RestoreWatch,
     /// Until when calls of this gateway failed, were slow or lost their answers.
     fault_at: Time,
 }
@@ -255,14 +264,16 @@
             lag,
             listed: Vec::new(),
             listed_at: Time::ZERO,
-            busy_until: [Time::ZERO; 4],
+            busy_until: [Time::ZERO; 5],
+            has_read_restored: false,
             wants_default: false,
             wants_records: false,
             default_end: 0,
             records_end: 0,
             queue: Vec::new(),
             sent: Vec::new(),
-            era: None,
+            first_era: None,
+            watch: RestoreWatch::default(),
             fault_at: Time::ZERO,
         }
     }
@@ -483,7 +494,7 @@
             self.store.defaults.retain(|(at, _)| *at < kept);
             self.store.records.retain(|(at, _)| *at < kept);
             self.store.restored = true;
-            self.store.era += 1;
+            self.store.era = StoreEra::new(self.store.era.get() + 1);
             self.note(|| format!("store restored from {kept}"));
         }
     }
@@ -512,9 +523,10 @@
         self.gateways[id].busy_until[kind] = self.now + CALL_TIMEOUT;
         let is_reached = match call {
             Call::ReadDefault => self.reads_list(id),
-            Call::ReadRecords { .. } | Call::Change { .. } | Call::Append(_) => {
-                self.reaches_store(id)
-            }
+            Call::ReadRecords { .. }
+            | Call::Change { .. }
+            | Call::Append(_)
+            | Call::ReadRestored => self.reaches_store(id),
         };
         if !is_reached {
             return;
@@ -565,6 +577,11 @@
             }
             Event::Answered(id, boot, answer, asked_at, era) if self.gateways[id].boot == boot => {
                 self.on_era(id, era);
+                if let Answer::Restored(restored) = &answer {
+                    let watch = &mut self.gateways[id].watch;
+                    watch.record_restored(self.now, *restored);
+                }
+                self.apply_restored_at(id);
                 self.on_answer(id, answer, asked_at);
             }
             Event::Answered(..) => {}
@@ -595,6 +612,7 @@
                 }
                 Answer::Changed
             }
+            Call::ReadRestored => Answer::Restored(self.store.restored_era),
             Call::Append(records) => {
                 let keys = records.iter().map(|it| it.key).collect();
                 self.appended_keys.extend(records.iter().map(|it| it.key));
@@ -636,10 +654,12 @@
     }
 
     /// Appends the gateway's own records of the last seconds again if the store was restored.
-    fn on_era(&mut self, id: Id, era: u64) {
+    fn on_era(&mut self, id: Id, era: StoreEra) {
         let now = self.now;
         let gateway = &mut self.gateways[id];
-        if gateway.era.replace(era).is_some_and(|known| known != era) {
+        let has_risen = gateway.watch.record_answer(now, era);
+        let first_era = *gateway.first_era.get_or_insert(era);
+        if has_risen && first_era != era {
             gateway.origins.forget_reads(now);
             gateway.records_end = 0;
             gateway.wants_default = true;
@@ -648,7 +668,32 @@
                 .iter()
                 .filter(|(at, _)| !(*at + LOST_MAX).has_passed(now));
             gateway.queue.extend(recent.map(|(_, it)| it.clone()));
-            self.fail(id, now + RESTORE_TIME);
+        }
+    }
+
+    /// Takes over from when on the gateway's reads count.
+    fn apply_restored_at(&mut self, id: Id) {
+        let gateway = &mut self.gateways[id];
+        let era = gateway.watch.era();
+        let restored_at = gateway.watch.restored_at(era);
+        if gateway.first_era == Some(era) {
+            gateway.origins.start(restored_at);
+        } else {
+            gateway.origins.set_restored_at(restored_at);
+        }
+        if !restored_at.has_passed(self.now) {
+            self.fail(id, restored_at);
+        }
+    }
+
+    /// Writes that the restore of the store is over.
+    fn write_restored(&mut self, id: Id) {
+        let watch = &self.gateways[id].watch;
+        let era = watch.era();
+        let is_over = watch.restored_at(era).has_passed(self.now);
+        if is_over && !watch.is_recorded() && self.takes_appends() && self.reaches_store(id) {
+            self.store.restored_era = self.store.restored_era.max(era);
+            self.gateways[id].watch.record_restored(self.now, era);
         }
     }
 
@@ -673,6 +718,10 @@
                 gateway.busy_until[2] = Time::ZERO;
                 gateway.wants_default = true;
             }
+            Answer::Restored(_) => {
+                gateway.busy_until[4] = Time::ZERO;
+                gateway.has_read_restored = true;
+            }
             Answer::Appended(done) => {
                 gateway.busy_until[3] = Time::ZERO;
                 gateway.failing = false;
@@ -707,7 +756,11 @@
         }
         if !self.reaches_store(id) {
             self.fail(id, now);
+            let gateway = &mut self.gateways[id];
+            gateway.watch.record_failure(now);
+            gateway.origins.record_store_failure(now);
         }
+        self.write_restored(id);
         if self.reads_list(id) && self.gateways[id].listed_at + Span::from_ms(250) <= now {
             let gateway = &mut self.gateways[id];
             let seen = now - gateway.lag;
@@ -743,6 +796,14 @@
         let (from, at) = (gateway.records_end, gateway.default_end);
         let due = gateway.origins.due_change(now).filter(|_| free[2]);
         let queue = gateway.queue.clone();
+        if !self.gateways[id].has_read_restored {
+            if free[4] {
+                self.send(id, 4, Call::ReadRestored);
+            }
+            if !(self.gateways[id].ready_at + START_WAIT).has_passed(now) {
+                return;
+            }
+        }
         if wants_default && free[0] {
             self.send(id, 0, Call::ReadDefault);
         }
