Play starts of gateways during restores, and show what remains open

restored_play kills a further gateway at random, starts it again, also while the store is away, and holds it to the bound for keys that were taken away.

--- a/crates/lentiltray/tests/it/restored_play.rs
+++ b/crates/lentiltray/tests/it/restored_play.rs
@@ -1,7 +1,8 @@
-//! A seeded play of a store that comes back from older copies while configurations change and
-//! endpoints join and leave.
+//! A seeded play of a store that comes back from older copies while configurations change, endpoints
+//! join and leave, and gateways start.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use rand::RngExt as _;
@@ -9,6 +10,8 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
 
+use crate::daemon_process::DaemonProcess;
+use crate::fake_http::ClientConnection;
 use crate::fake_store::StoreMode;
 use crate::gateway_harness::{Replica, request_head, respond_ok, wait_until};
 use crate::restored_store::{Reader, Restored, with_key};
@@ -41,8 +44,16 @@
     is_listed: bool,
 }
 
+/// A gateway that is killed and started again.
+struct Started {
+    process: DaemonProcess,
+    /// The newest version whose key it accepted.
+    accepted: u64,
+}
+
 /// The state of a play.
 struct Play {
+    test: String,
     restored: Restored,
     rng: ChaCha8Rng,
     /// What was written last, whether it was lost or not.
@@ -54,6 +65,8 @@
     /// The newest version whose key was accepted.
     accepted: u64,
     desks: Vec<Desk>,
+    started: Option<Started>,
+    starts: u64,
     next_step_at: Instant,
     away_until: Option<Instant>,
     requests: u64,
@@ -69,12 +82,15 @@
         });
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
+            test: test.to_owned(),
             written: listed.collect(),
             restored,
             lost: BTreeMap::new(),
             acked_at: vec![Instant::now()],
             accepted: 1,
             desks: Vec::new(),
+            started: None,
+            starts: 0,
             next_step_at: Instant::now(),
             away_until: None,
             requests: 0,
@@ -95,6 +111,9 @@
     fn step(&mut self) {
         let now = Instant::now();
         self.next_step_at = now + Duration::from_millis(self.rng.random_range(50..500));
+        if self.rng.random_range(0..10) < 2 {
+            self.start_gateway();
+        }
         if self.away_until.is_some() {
             return;
         }
@@ -106,6 +125,17 @@
         }
     }
 
+    /// Starts a gateway in place of the one before.
+    fn start_gateway(&mut self) {
+        self.started = None;
+        self.starts += 1;
+        let name = format!("{}_{}", self.test, self.starts);
+        self.started = Some(Started {
+            process: self.restored.start_gateway(&name, REVOKE_MS),
+            accepted: 0,
+        });
+    }
+
     fn publish(&mut self) {
         let version = self.version() + 1;
         let config = with_key(version, &format!("key{version}"));
@@ -182,31 +212,33 @@
         }
     }
 
-    /// Sends a request with the key of a version.
-    fn accepts(&mut self, version: u64) -> bool {
+    /// Sends a request with the key of a version to a gateway.
+    fn accepts_at(&mut self, gateway: SocketAddr, version: u64) -> bool {
         self.requests += 1;
         let head = request_head("/lookup/a", &format!("r{}", self.requests), "");
         let head = head.replace("Bearer k1", &format!("Bearer key{version}"));
-        let mut connection = self.restored.site().connect();
+        let mut connection = ClientConnection::open(gateway);
         connection.send(&head, "hello");
         connection.receive().unwrap().status == 200
     }
 
-    /// Sends a request with each of the newest keys, and checks that none is accepted that has been
-    /// taken away for too long, or after a newer one was.
-    fn check_keys(&mut self) {
+    /// The same at the gateway that runs all the while.
+    fn accepts(&mut self, version: u64) -> bool {
+        let gateway = self.restored.site().gateway.address("callers");
+        self.accepts_at(gateway, version)
+    }
+
+    /// Sends a request with each of the newest keys to a gateway, and checks that none is accepted that
+    /// has been taken away for too long, or after a newer one was. Returns the newest accepted version.
+    fn check_keys_at(&mut self, gateway: SocketAddr, mut accepted: u64) -> u64 {
         let newest = self.version();
         for version in newest.saturating_sub(OLDER_KEYS).max(2)..=newest {
             let sent_at = Instant::now();
-            if !self.accepts(version) {
+            if !self.accepts_at(gateway, version) {
                 continue;
             }
-            assert!(
-                version >= self.accepted,
-                "{version} after {}",
-                self.accepted
-            );
-            self.accepted = version;
+            assert!(version >= accepted, "{version} after {accepted}");
+            accepted = version;
             let revoked = usize::try_from(version).unwrap();
             if let Some(revoked_at) = self.acked_at.get(revoked) {
                 let late = sent_at.saturating_duration_since(*revoked_at);
@@ -217,6 +249,18 @@
                 );
             }
         }
+        accepted
+    }
+
+    fn check_keys(&mut self) {
+        let gateway = self.restored.site().gateway.address("callers");
+        self.accepted = self.check_keys_at(gateway, self.accepted);
+        let Some(started) = &self.started else {
+            return;
+        };
+        let gateway = started.process.address("callers");
+        let accepted = self.check_keys_at(gateway, started.accepted);
+        self.started.as_mut().unwrap().accepted = accepted;
     }
 
     fn run(&mut self, time: Duration) {
@@ -251,6 +295,12 @@
         }
         let newest = self.version();
         wait_until("the newest key is accepted", || self.accepts(newest));
+        if let Some(started) = &self.started {
+            let gateway = started.process.address("callers");
+            wait_until("the newest key is accepted at the start", || {
+                self.accepts_at(gateway, newest)
+            });
+        }
         let gone = self.desks.iter().filter(|desk| !desk.is_listed);
         let reached = |desk: &Desk| desk.replica.requests().len();
         let before: Vec<_> = gone.clone().map(reached).collect();
@@ -264,7 +314,8 @@
 }
 
 /// Guards against a configuration that goes back or a key that works for too long after a restore,
-/// and against a gateway that does not know in the end what was written last.
+/// also at a gateway that has just started, and against a gateway that does not know in the end what was
+/// written last.
 #[test]
 fn random_restores() {
     let seed = number_from("LENTIL_SEED", SEED);
@@ -278,9 +329,10 @@
     play.run(time);
     play.settle();
     println!(
-        "{} requests, {} versions, {} restores",
+        "{} requests, {} versions, {} restores, {} starts",
         play.requests,
         play.version(),
-        play.restores
+        play.restores,
+        play.starts
     );
 }
--- a/crates/lentiltray/tests/it/restored_starts.rs
+++ b/crates/lentiltray/tests/it/restored_starts.rs
@@ -18,6 +18,8 @@
 /// Time within which lost records are written again in the tests. It is shorter than the platform's
 /// pages allow.
 const WRITE_AGAIN_TIME: Duration = Duration::from_millis(1_500);
+/// Time after which a revoked key must stop working.
+const REVOKE_MS: u64 = 5_000;
 /// Time for which requests are sent afterwards.
 const AFTER_TIME: Duration = Duration::from_millis(2_000);
 /// How long the store is away.
@@ -64,10 +66,6 @@
         restored
     }
 
-    fn start_gateway(&self, test: &str) -> DaemonProcess {
-        start_gateway(&self.site().store, test, "", 1)
-    }
-
     /// Writes what was lost again some time after the return of the store, and checks that gateways
     /// serve only the newer key before and afterwards.
     fn check_revoked(&self, gateways: &[&DaemonProcess]) {
@@ -93,7 +91,7 @@
 #[test]
 fn revoked_key() {
     let restored = Restored::lose_revocation("starts_revoked", Reader::Gateway);
-    let gateway = restored.start_gateway("starts_revoked_2");
+    let gateway = restored.start_gateway("starts_revoked_2", REVOKE_MS);
     restored.check_revoked(&[&gateway]);
     assert_eq!(readiness(&gateway), 200);
 }
@@ -103,7 +101,7 @@
 fn both_restarted() {
     let restored = Restored::lose_revocation("starts_both", Reader::Gateway);
     restored.site().gateway.signal("-KILL");
-    let gateway = restored.start_gateway("starts_both_2");
+    let gateway = restored.start_gateway("starts_both_2", REVOKE_MS);
     restored.check_revoked(&[&gateway]);
 }
 
@@ -112,7 +110,7 @@
 fn started_later() {
     let restored = Restored::lose_revocation("starts_later", Reader::Gateway);
     std::thread::sleep(LATE_START);
-    let gateway = restored.start_gateway("starts_later_2");
+    let gateway = restored.start_gateway("starts_later_2", REVOKE_MS);
     refuse_revoked(&[&gateway], WRITE_AGAIN_TIME.saturating_sub(LATE_START));
     restored.check_written_again(&[&gateway]);
 }
@@ -121,7 +119,7 @@
 #[test]
 fn second_restore() {
     let mut restored = Restored::lose_revocation("starts_second", Reader::Gateway);
-    let gateway = restored.start_gateway("starts_second_2");
+    let gateway = restored.start_gateway("starts_second_2", REVOKE_MS);
     refuse_revoked(&[&gateway], LATE_START);
     restored.restore_after("keyed.op", 0, AWAY_TIME);
     restored.check_revoked(&[&gateway]);
@@ -131,7 +129,7 @@
 #[test]
 fn away_again() {
     let restored = Restored::lose_revocation("starts_away", Reader::Gateway);
-    let gateway = restored.start_gateway("starts_away_2");
+    let gateway = restored.start_gateway("starts_away_2", REVOKE_MS);
     refuse_revoked(&[&gateway], AWAY_TIME);
     restored.set_mode(StoreMode::Closing);
     refuse_revoked(&[&gateway], LATE_START);
@@ -147,7 +145,7 @@
     let record = json!({"era": 1});
     assert_eq!(restored.newest("keyed.restores", "restored"), Some(record));
     restored.site().store.set_era(Some("2"));
-    let gateway = restored.start_gateway("starts_recorded_2");
+    let gateway = restored.start_gateway("starts_recorded_2", REVOKE_MS);
     gateway.wait_for_line(UNCONFIRMED);
     assert_eq!(readiness(&gateway), 503);
 }
@@ -156,7 +154,7 @@
 #[test]
 fn store_in_order() {
     let restored = Restored::start("starts_in_order", Reader::Gateway);
-    let gateway = restored.start_gateway("starts_in_order_2");
+    let gateway = restored.start_gateway("starts_in_order_2", REVOKE_MS);
     let read = gateway.wait_for_line(RECORD_READ);
     assert_eq!(read["kvs"]["restored"], true, "{read}");
     wait_until("the gateway is ready", || readiness(&gateway) == 200);
@@ -205,7 +203,7 @@
         status(running, "/added/a", "k1") == 200
     });
     restored.restore_after("keyed.op", 1, AWAY_TIME);
-    let gateway = restored.start_gateway("starts_route_2");
+    let gateway = restored.start_gateway("starts_route_2", REVOKE_MS);
     gateway.wait_for_line("a version is in force");
     assert_eq!(status(&gateway, "/added/a", "k1"), 503);
     assert_eq!(status(&gateway, "/lookup/a", "unknown"), 503);
@@ -252,7 +250,7 @@
     });
     write(&restored);
     restored.restore_after(topic, 1, AWAY_TIME);
-    let gateway = restored.start_gateway(&format!("{test}_2"));
+    let gateway = restored.start_gateway(&format!("{test}_2"), REVOKE_MS);
     gateway.wait_for_line("endpoint joined");
     wait_until("the configuration is read", || {
         status(&gateway, "/lookup/a", "") == 200
@@ -316,7 +314,7 @@
 fn observer_started() {
     let mut restored = Restored::lose_revocation("starts_observer", Reader::Observer);
     restored.restart_observer();
-    let gateway = restored.start_reading_gateway("starts_observer_2");
+    let gateway = restored.start_gateway("starts_observer_2", REVOKE_MS);
     restored.check_revoked(&[&gateway, &restored.site().gateway]);
 }
 
--- a/crates/lentiltray/tests/it/restored_store.rs
+++ b/crates/lentiltray/tests/it/restored_store.rs
@@ -7,7 +7,7 @@
 
 use crate::daemon_process::DaemonProcess;
 use crate::fake_store::{Store, StoreMode};
-use crate::gateway_harness::{Replica, Site, config, respond_ok, wait_until};
+use crate::gateway_harness::{Replica, Site, config, respond_ok, start_gateway, wait_until};
 use crate::shared_log::RelaySite;
 
 /// How long the store is away.
@@ -169,11 +169,14 @@
         }
     }
 
-    /// Starts a further gateway that reads through the observer.
-    pub(crate) fn start_reading_gateway(&self, test: &str) -> DaemonProcess {
+    /// Starts a further gateway, which reads through the observer if there is one.
+    pub(crate) fn start_gateway(&self, test: &str, revoke_ms: u64) -> DaemonProcess {
         match &self.processes {
-            Processes::Gateway { .. } => panic!("there is no observer"),
-            Processes::Observer(relay) => relay.start_gateway(test),
+            Processes::Gateway { site, .. } => {
+                let bounds = format!("revoke_ms: {revoke_ms}");
+                start_gateway(&site.store, test, &bounds, 1)
+            }
+            Processes::Observer(relay) => relay.start_gateway(test, revoke_ms),
         }
     }
 
@@ -452,3 +455,19 @@
     restored.publish(&[version + 1]);
     assert_eq!(restored.status("/lookup/a", "back"), 200);
 }
+
+/// A key that had been taken away was served for as long as nothing else was written, as the era of a
+/// store that had come back from an older copy could not be read.
+#[test]
+fn unreadable_era() {
+    let mut restored = Restored::start("restored_unreadable", Reader::Gateway);
+    restored.publish(&[2, 3]);
+    restored.restore("keyed.op", 2, |restored| {
+        restored.site().store.set_era(Some("x"));
+        restored.put("keyed.op", "config", Some(&config(3)));
+        restored.put("keyed.op", "config", Some(&with_key(4, "k2")));
+    });
+    wait_until("the key is refused", || {
+        restored.status("/lookup/a", "revoked") == 401
+    });
+}
--- a/crates/lentiltray/tests/it/rollout_orders.rs
+++ b/crates/lentiltray/tests/it/rollout_orders.rs
@@ -28,6 +28,9 @@
 /// Longest time from an answer to its record, and from a record to its effect.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
+/// How long the store is away before it comes back from an older copy.
+const AWAY_TIME: Duration = Duration::from_millis(500);
+
 /// Starts an endpoint that fails a part of its requests.
 fn bad_endpoint(name: &str) -> Replica {
     let count = AtomicUsize::new(0);
@@ -404,3 +407,25 @@
     std::thread::sleep(SETTLE_TIME);
     assert_eq!(total(&[&old[0], &old[1]]), before);
 }
+
+/// An order was ignored, as a store that had come back from an older copy gave it the offset of one that
+/// was lost.
+#[test]
+fn order_after_restore() {
+    let old = [
+        Replica::start("i-1", respond_ok),
+        Replica::start("i-2", respond_ok),
+    ];
+    let site = site("rollout_restored", LIMITS, [&old[0], &old[1]]);
+    let end = site.store.end("keyed.op");
+    order(&site, "desk", "v2", 20.0);
+    site.gateway.wait_for_line("is open");
+    site.store.set_mode(StoreMode::Closing);
+    std::thread::sleep(AWAY_TIME);
+    site.store.truncate("keyed.op", end);
+    site.store.set_era(Some("2"));
+    site.store.set_mode(StoreMode::Serving);
+    order(&site, "desk", "v3", 20.0);
+    let opened = site.gateway.wait_for_line("is open");
+    assert_eq!(opened["kvs"]["target"], "v3");
+}
--- a/crates/lentiltray/tests/it/shared_log.rs
+++ b/crates/lentiltray/tests/it/shared_log.rs
@@ -105,8 +105,9 @@
     }
 
     /// Starts a further gateway that reads through the observer as soon as it knows it.
-    pub(crate) fn start_gateway(&self, test: &str) -> DaemonProcess {
-        start_gateway(&self.site.store, test, "direct_readers_max: 0", self.port)
+    pub(crate) fn start_gateway(&self, test: &str, revoke_ms: u64) -> DaemonProcess {
+        let bounds = format!("direct_readers_max: 0, revoke_ms: {revoke_ms}");
+        start_gateway(&self.site.store, test, &bounds, self.port)
     }
 
     pub(crate) fn status(&self, id: &str) -> u16 {
