Let a relay's earlier failure not delay the end of a restore again and again

Cause: a relay states its last failure with every page, also after the log has answered it again.

Change: a failure counts only if it was noticed after the first answer.

Evidence: restored_starts::reading_gateway and restore_watch::earlier_failure failed before.

--- a/crates/feed/src/restore_watch.rs
+++ b/crates/feed/src/restore_watch.rs
@@ -48,11 +48,12 @@
         has_risen
     }
 
-    /// Records that the store did not answer a request that was sent at this time. Its writers may
-    /// have had no answer either, and their time begins anew.
-    pub fn record_failure(&mut self, asked_at: Time) {
+    /// Records that a request of `asked_at` had failed at `failed_at`. The store's writers may have had
+    /// no answer either, and their time begins anew, unless it was over or began later.
+    pub fn record_failure(&mut self, asked_at: Time, failed_at: Time) {
         let is_over = |since: Time| (since + RESTORE_TIME).has_passed(asked_at);
-        self.answered_since = self.answered_since.filter(|since| is_over(*since));
+        let counts = |since: &Time| is_over(*since) || *since > failed_at;
+        self.answered_since = self.answered_since.filter(counts);
     }
 
     /// Records that the log was read and says that the restore of this era is over.
--- a/crates/feed/tests/it/restore_watch.rs
+++ b/crates/feed/tests/it/restore_watch.rs
@@ -49,15 +49,32 @@
 #[test]
 fn failure_in_restore() {
     let mut watch = watch();
-    watch.record_failure(ms(500));
+    watch.record_failure(ms(450), ms(500));
     assert_eq!(watch.restored_at(ERA), Time::NEVER);
     watch.record_answer(ms(900), ERA);
     let restored_at = ms(900) + RESTORE_TIME;
     assert_eq!(watch.restored_at(ERA), restored_at);
-    watch.record_failure(restored_at + Span::from_ms(1));
+    let later = restored_at + Span::from_ms(1);
+    watch.record_failure(later, later);
     assert_eq!(watch.restored_at(ERA), restored_at);
 }
 
+/// A request that was sent before the first answer failed after it.
+#[test]
+fn late_failure() {
+    let mut watch = watch();
+    watch.record_failure(ms(50), ms(500));
+    assert_eq!(watch.restored_at(ERA), Time::NEVER);
+}
+
+/// The restore was never over behind a relay, which goes on stating a failure of before.
+#[test]
+fn earlier_failure() {
+    let mut watch = watch();
+    watch.record_failure(ms(50), ms(50));
+    assert_eq!(watch.restored_at(ERA), ms(100) + RESTORE_TIME);
+}
+
 /// A store that states no era, or has never been restored, needs no record.
 #[test]
 fn store_without_eras() {
--- a/crates/feed/tests/it/topic_copy.rs
+++ b/crates/feed/tests/it/topic_copy.rs
@@ -314,7 +314,7 @@
                 Step::Wait(ms) => now = now + Span::from_ms(ms),
                 Step::Away(ms) => {
                     for watch in [&mut reader.watch, &mut peer] {
-                        watch.record_failure(now);
+                        watch.record_failure(now, now);
                     }
                     now = now + Span::from_ms(ms);
                     log.return_at(now);
--- a/crates/gateway/src/store_restores.rs
+++ b/crates/gateway/src/store_restores.rs
@@ -70,9 +70,9 @@
         }
     }
 
-    /// Records that the store did not answer a request that was sent at this time.
-    pub fn record_failure(&self, asked_at: Time) {
-        self.watch.borrow_mut().record_failure(asked_at);
+    /// Records that a request of `asked_at` had failed at `failed_at`.
+    pub fn record_failure(&self, asked_at: Time, failed_at: Time) {
+        self.watch.borrow_mut().record_failure(asked_at, failed_at);
     }
 
     /// Applies a decision to the state.
--- a/crates/lentiltray/tests/it/restored_starts.rs
+++ b/crates/lentiltray/tests/it/restored_starts.rs
@@ -308,6 +308,14 @@
     });
 }
 
+/// Gateways behind an observer that had noticed the failure of the store confirmed nothing any more.
+#[test]
+fn reading_gateway() {
+    let restored = Restored::lose_revocation("starts_reading", Reader::Observer);
+    let gateway = restored.start_gateway("starts_reading_2", REVOKE_MS);
+    restored.check_revoked(&[&gateway, &restored.site().gateway]);
+}
+
 /// An observer that started at the return passed the older copy on to a gateway that had run all the
 /// while and to one that started then.
 #[test]
--- a/crates/origin/tests/it/model.rs
+++ b/crates/origin/tests/it/model.rs
@@ -757,7 +757,7 @@
         if !self.reaches_store(id) {
             self.fail(id, now);
             let gateway = &mut self.gateways[id];
-            gateway.watch.record_failure(now);
+            gateway.watch.record_failure(now, now);
             gateway.origins.record_store_failure(now);
         }
         self.write_restored(id);
