Revert the lapse of entries at a start after a restore

Cause: let the entries of the first list lapse 2.9 s after the start unless they were written again. The tests renewed all entries, which hid it.

An endpoint that had left is removed by the store again, at the latest after three intervals of silence; left_endpoint checks that it gets no requests after that, and passes on as well. unchanged_endpoint failed before this commit.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -326,23 +326,6 @@
             .collect()
     }
 
-    /// Handles the first list of a process that has started on a store that may have come back from an
-    /// older copy just before: endpoints that live renew their records. Until these are due, the others
-    /// get requests too.
-    pub fn await_renewals(&mut self, now: Time, ids: &BTreeSet<EndpointId>) {
-        let until = now + self.config.record_return;
-        self.unnamed.retain(|id| !ids.contains(id));
-        for (_, endpoint) in self
-            .endpoints
-            .iter_mut()
-            .filter(|(id, _)| ids.contains(*id))
-        {
-            if endpoint.availability == Availability::Available {
-                endpoint.availability = Availability::Unlisted { until };
-            }
-        }
-    }
-
     /// Marks an endpoint that is no longer at its address as leaving immediately.
     pub fn mark_gone(&mut self, now: Time, id: &EndpointId) -> Option<FleetChange> {
         self.begin_leaving(now, id, Some(now), LeaveEvidence::AddressReused)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -491,9 +491,6 @@
                             }
                         }
                     }
-                    if update.is_unconfirmed {
-                        fleet.await_renewals(now, &listed_ids);
-                    }
                     if update.is_restored {
                         changes.extend(fleet.await_missing(now, &listed_ids));
                     } else if update.is_snapshot {
--- a/crates/gateway/src/store_feed.rs
+++ b/crates/gateway/src/store_feed.rs
@@ -106,9 +106,6 @@
     /// Whether the store has just come back from an older copy: entries that are missing may be
     /// written again.
     pub is_restored: bool,
-    /// Whether the store may have come back from an older copy just before this process started:
-    /// entries may have been removed since, and those that live are renewed.
-    pub is_unconfirmed: bool,
 }
 
 /// Changes from one feed of the store, and how old they are.
