--- a/crates/lentiltray/tests/it/restored_store.rs
+++ b/crates/lentiltray/tests/it/restored_store.rs
@@ -353,6 +353,22 @@
     assert!(after.iter().all(|status| *status == 200), "{after:?}");
 }
 
+/// An endpoint that had joined before the first read after the restore got no requests, as its entry
+/// counted as one of the older copy, and is not written again unless it changes.
+#[test]
+fn joined_before_first_read() {
+    let mut restored = Restored::start("restored_before_read", Reader::Gateway);
+    let joined = Replica::start("i-9", respond_ok);
+    restored.restore("keyed.servers", 0, |restored| {
+        restored.register(&joined, "ready");
+    });
+    restored.wait_until_read();
+    wait_until("the endpoint gets a request", || {
+        restored.status("/lookup/a", "joined");
+        !joined.requests().is_empty()
+    });
+}
+
 /// An endpoint that does not write its lost entry again got requests for ever.
 #[test]
 fn lost_endpoint() {
